--- /dev/null
+++ b/internal/agent/lease_controller.go
@@ -0,0 +1,263 @@
+package agent
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/event"
+	"corianderspur.example/corianderspur/internal/proto"
+	"corianderspur.example/corianderspur/internal/shard"
+	"corianderspur.example/corianderspur/internal/table"
+)
+
+// Keys of the rows that agents and entries share.
+const (
+	MapKey       = "map"
+	DirPrefix    = "agent/"
+	never        = clock.Millis(-1 << 40)
+	readInterval = 500 * clock.Millis(1)
+)
+
+// LeaseController knows the shard map, the newest epochs, and whether this knowledge is fresh enough to start tasks.
+type LeaseController struct {
+	*common
+	m        *shard.Map
+	seen     map[int]uint64
+	heard    map[shard.ID]clock.Millis
+	peers    []shard.ID
+	fresh    clock.Millis
+	joined   bool
+	renewals int
+
+	call   uint64
+	sentAt clock.Millis
+	lastAt clock.Millis
+	pinged clock.Millis
+}
+
+// NewLeaseController creates a controller that has not read the map yet.
+func NewLeaseController(c *common) *LeaseController {
+	return &LeaseController{
+		common: c, seen: map[int]uint64{}, heard: map[shard.ID]clock.Millis{},
+		fresh: never, lastAt: never, pinged: never,
+	}
+}
+
+// Current reports whether the agent's knowledge of the map is younger than the lease.
+func (c *LeaseController) Current() bool {
+	if c.m == nil || !c.joined {
+		return false
+	}
+	limit := c.now - c.m.Terms.Lease
+	return c.fresh > limit || c.heardAll(limit)
+}
+
+func (c *LeaseController) heardAll(limit clock.Millis) bool {
+	for _, member := range c.m.Members {
+		at, ok := c.heard[member.ID]
+		if !ok || at <= limit {
+			return false
+		}
+	}
+	return true
+}
+
+// Refusal returns why a start may not be accepted now, or the empty reason.
+func (c *LeaseController) Refusal(s *proto.Start) proto.Reason {
+	if s.Epoch < c.seen[s.Shard] {
+		return proto.ReasonStale
+	}
+	if !s.Repeatable && !c.Current() {
+		return proto.ReasonStale
+	}
+	c.seen[s.Shard] = s.Epoch
+	return ""
+}
+
+// OwnerOf returns the owner of a shard by the map that the agent holds.
+func (c *LeaseController) OwnerOf(n int) shard.ID {
+	if c.m == nil || n >= len(c.m.Shards) {
+		return ""
+	}
+	return c.m.Shards[n].ID
+}
+
+// Raise adopts the map and the epochs of a fence.
+func (c *LeaseController) Raise(f *proto.Fence) {
+	if f.Map != nil {
+		c.adopt(f.Map)
+	}
+	for _, s := range f.Shards {
+		c.seen[s.Shard] = max(c.seen[s.Shard], s.Epoch)
+	}
+}
+
+// Check tells an owner which of its epochs are still the newest, which only a current agent can.
+func (c *LeaseController) Check(from shard.ID, check *proto.Check) {
+	reply := &proto.Checked{Nonce: check.Nonce}
+	if c.Current() {
+		for _, s := range check.Shards {
+			if c.seen[s.Shard] <= s.Epoch {
+				reply.Valid = append(reply.Valid, s.Shard)
+			}
+		}
+	}
+	c.send(from, proto.Message{Checked: reply})
+}
+
+// Pong takes the answer to a heartbeat; freshness counts from when the heartbeat was sent.
+func (c *LeaseController) Pong(from shard.ID, p *proto.Pong) {
+	if p.Sent > c.heardAt(from) {
+		c.heard[from] = p.Sent
+	}
+	if p.Map != nil {
+		c.adopt(p.Map)
+	}
+}
+
+func (c *LeaseController) heardAt(id shard.ID) clock.Millis {
+	if at, ok := c.heard[id]; ok {
+		return at
+	}
+	return never
+}
+
+func (c *LeaseController) adopt(m *shard.Map) {
+	if c.m != nil && m.Version <= c.m.Version {
+		return
+	}
+	c.m = m
+	for i, o := range m.Shards {
+		c.seen[i] = max(c.seen[i], o.Epoch)
+	}
+	c.emit(event.Connect{Members: m.Members})
+	c.emit(event.Note{Name: "map_adopted", Version: m.Version})
+	if m.IsLost(c.id) {
+		c.renew()
+	}
+}
+
+// renew takes a new identity after this one was struck off; records and running tasks are kept.
+func (c *LeaseController) renew() {
+	c.renewals++
+	c.id = shard.ID(fmt.Sprintf("%s.%d", c.cfg.ID, c.renewals))
+	c.joined = false
+	c.fresh = never
+	c.call = 0
+	c.lastAt = never
+	c.heard = map[shard.ID]clock.Millis{}
+	c.peers = nil
+	c.emit(event.Reset{ID: c.id})
+}
+
+// Greet sends the first heartbeat of a session.
+func (c *LeaseController) Greet(peer shard.ID, load proto.Load) {
+	c.peers = append(c.peers, peer)
+	p := c.ping(load)
+	p.Worker = c.cfg.Worker
+	p.Zone = c.cfg.Zone
+	p.Labels = c.cfg.Labels
+	c.send(peer, proto.Message{Ping: p})
+}
+
+// Forget stops the heartbeats to a process.
+func (c *LeaseController) Forget(peer shard.ID) {
+	kept := c.peers[:0]
+	for _, p := range c.peers {
+		if p != peer {
+			kept = append(kept, p)
+		}
+	}
+	c.peers = kept
+}
+
+// PingAll sends a heartbeat to every connected entry.
+func (c *LeaseController) PingAll(load proto.Load) {
+	c.pinged = c.now
+	for _, peer := range c.peers {
+		c.send(peer, proto.Message{Ping: c.ping(load)})
+	}
+}
+
+// Farewell tells every connected entry that this identity will start nothing any more.
+func (c *LeaseController) Farewell() {
+	for _, peer := range c.peers {
+		p := c.ping(proto.Load{Leaving: true})
+		p.Gone = true
+		c.send(peer, proto.Message{Ping: p})
+	}
+	c.joined = false
+}
+
+func (c *LeaseController) ping(load proto.Load) *proto.Ping {
+	p := &proto.Ping{Sent: c.now, Load: load}
+	if c.m != nil {
+		p.MapVersion = c.m.Version
+	}
+	return p
+}
+
+// Tick sends heartbeats that are due and reads the table while the map is not known to be fresh.
+func (c *LeaseController) Tick(load proto.Load) {
+	if c.now-c.pinged >= c.cfg.PingEvery {
+		c.PingAll(load)
+	}
+	if c.call != 0 || c.now-c.lastAt < readInterval {
+		return
+	}
+	if !c.joined || !c.nearlyCurrent() {
+		c.read()
+	}
+}
+
+// nearlyCurrent is false early enough for a read to finish before the lease lapses.
+func (c *LeaseController) nearlyCurrent() bool {
+	limit := c.now - c.m.Terms.Lease*2/3
+	return c.fresh > limit || c.heardAll(limit)
+}
+
+// read writes the directory row, if it is not there yet, and reads the map in the same transaction.
+func (c *LeaseController) read() {
+	key := DirPrefix + string(c.id)
+	txn := table.Txn{Keys: []string{MapKey, key}}
+	if !c.joined {
+		txn.Writes = []table.Write{{Key: key, Any: true, Value: []byte(c.cfg.Worker)}}
+	}
+	c.call = c.nextCall()
+	c.sentAt = c.now
+	c.lastAt = c.now
+	c.emit(event.TableCall{Call: c.call, Txn: txn})
+}
+
+// TableDone takes the outcome of a read.
+func (c *LeaseController) TableDone(e event.TableDone) {
+	if e.Call != c.call {
+		return
+	}
+	c.call = 0
+	if e.Err != nil {
+		return
+	}
+	if e.Reply.Row(DirPrefix+string(c.id)).Version == 0 {
+		c.renew()
+		return
+	}
+	row := e.Reply.Row(MapKey)
+	if row.Version == 0 {
+		return
+	}
+	var m shard.Map
+	if err := cbor.Unmarshal(row.Value, &m); err != nil {
+		c.emit(event.Note{Name: "map_unreadable", Reason: err.Error()})
+		return
+	}
+	id := c.id
+	c.adopt(&m)
+	if c.id != id || m.Version < c.m.Version {
+		return
+	}
+	c.joined = true
+	c.fresh = c.sentAt
+}
--- /dev/null
+++ b/internal/agent/machine.go
@@ -0,0 +1,116 @@
+package agent
+
+import (
+	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/event"
+	"corianderspur.example/corianderspur/internal/proto"
+	"corianderspur.example/corianderspur/internal/shard"
+)
+
+// Machine is the state machine of an agent; it does no input or output and must be used by one thread only.
+type Machine struct {
+	*common
+	lease   *LeaseController
+	records *RecordController
+	runs    *RunController
+}
+
+// New creates the state machine of an agent that starts now.
+func New(cfg Config, now clock.Millis) *Machine {
+	c := &common{cfg: cfg, id: cfg.ID, now: now}
+	lease := NewLeaseController(c)
+	records := NewRecordController(c, lease)
+	runs := NewRunController(c, lease, records)
+	return &Machine{common: c, lease: lease, records: records, runs: runs}
+}
+
+// Handle takes one event at a time now, in milliseconds, and returns what has to be done about it.
+func (m *Machine) Handle(now clock.Millis, ev event.Event) []event.Action {
+	m.now = now
+	m.out = nil
+	switch e := ev.(type) {
+	case event.Tick:
+		m.tick()
+	case event.Received:
+		m.receive(e.From, e.Message)
+	case event.SessionUp:
+		m.lease.Greet(e.Peer, m.runs.Load())
+		m.records.Resend(e.Peer)
+	case event.SessionDown:
+		m.lease.Forget(e.Peer)
+	case event.TableDone:
+		m.lease.TableDone(e)
+	case event.Stop:
+		m.runs.Leave(true)
+		m.announce()
+	case BackendAnnounced:
+		m.runs.Announce(e)
+	case BackendLeaving:
+		m.runs.Leave(false)
+		m.announce()
+	case RunDone:
+		if m.runs.Done(e) {
+			m.announce()
+		}
+	}
+	m.runs.Pump()
+	return m.out
+}
+
+func (m *Machine) tick() {
+	m.lease.Tick(m.runs.Load())
+	m.records.Tick()
+	if m.runs.Tick() {
+		m.announce()
+	}
+}
+
+func (m *Machine) announce() {
+	m.lease.PingAll(m.runs.Load())
+}
+
+func (m *Machine) receive(from shard.ID, msg proto.Message) {
+	switch {
+	case msg.Pong != nil:
+		m.lease.Pong(from, msg.Pong)
+	case msg.Start != nil:
+		m.runs.Start(msg.Start)
+	case msg.Ack != nil:
+		m.records.Ack(msg.Ack)
+	case msg.Revoke != nil:
+		m.runs.Revoke(msg.Revoke.Key)
+	case msg.Fence != nil:
+		m.lease.Raise(msg.Fence)
+		m.records.Report(from, msg.Fence.Shards)
+	case msg.Check != nil:
+		m.lease.Check(from, msg.Check)
+	}
+}
+
+// ID returns the present identity of the agent.
+func (m *Machine) ID() shard.ID {
+	return m.id
+}
+
+// Status is what an agent tells about itself.
+type Status struct {
+	ID         shard.ID   `json:"id"`
+	MapVersion uint64     `json:"map_version"`
+	Current    bool       `json:"current"`
+	Load       proto.Load `json:"load"`
+	Records    int        `json:"records"`
+	Unacked    int        `json:"unacknowledged"`
+	Announced  bool       `json:"backend_server_announced"`
+}
+
+// Status returns the agent's view of itself at a time in milliseconds.
+func (m *Machine) Status(now clock.Millis) Status {
+	m.now = now
+	s := Status{ID: m.id, Current: m.lease.Current(), Load: m.runs.Load(), Records: len(m.records.jobs)}
+	s.Unacked = len(m.records.unacked)
+	s.Announced = m.runs.announced
+	if m.lease.m != nil {
+		s.MapVersion = m.lease.m.Version
+	}
+	return s
+}
--- /dev/null
+++ b/internal/agent/record_controller.go
@@ -0,0 +1,243 @@
+package agent
+
+import (
+	"bytes"
+	"slices"
+
+	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/proto"
+	"corianderspur.example/corianderspur/internal/shard"
+)
+
+// resendAfter is the time after which an unacknowledged outcome is sent again, in milliseconds.
+const resendAfter = clock.Second
+
+type taskRecord struct {
+	outcome proto.Outcome
+	acked   bool
+	held    bool
+}
+
+type jobRecord struct {
+	key     shard.Key
+	shard   int
+	digest  uint64
+	active  int
+	tasks   []taskRecord
+	touched clock.Millis
+	heldAt  clock.Millis
+	sentAt  clock.Millis
+}
+
+func (r *jobRecord) task(index int) *taskRecord {
+	for i := range r.tasks {
+		if r.tasks[i].outcome.Index == index {
+			return &r.tasks[i]
+		}
+	}
+	return nil
+}
+
+type due struct {
+	key   shard.Key
+	since clock.Millis
+}
+
+type kept struct {
+	key   shard.Key
+	index int
+	size  int
+}
+
+// RecordController remembers, for the retention time, what the agent has done with each task.
+type RecordController struct {
+	*common
+	lease     *LeaseController
+	jobs      map[shard.Key]*jobRecord
+	unacked   map[shard.Key]struct{}
+	expiry    []due
+	outputs   []kept
+	keptBytes int
+	load      func() proto.Load
+}
+
+// NewRecordController creates a controller without records.
+func NewRecordController(c *common, lease *LeaseController) *RecordController {
+	return &RecordController{
+		common: c, lease: lease, jobs: map[shard.Key]*jobRecord{}, unacked: map[shard.Key]struct{}{},
+		load: func() proto.Load { return proto.Load{} },
+	}
+}
+
+// Open returns the record of a job, creating it if there is none.
+func (c *RecordController) Open(s *proto.Start) *jobRecord {
+	r := c.jobs[s.Key]
+	if r == nil {
+		r = &jobRecord{key: s.Key, shard: s.Shard, digest: s.Digest}
+		c.jobs[s.Key] = r
+		c.expiry = append(c.expiry, due{key: s.Key, since: c.now})
+	}
+	r.touched = c.now
+	return r
+}
+
+// Settle stores the final outcome of a task and sends it, or holds it back for others of its job.
+func (c *RecordController) Settle(r *jobRecord, t *taskRecord, o proto.Outcome) {
+	t.outcome = o
+	t.acked = false
+	t.held = true
+	r.touched = c.now
+	if len(o.Output) > 0 {
+		c.outputs = append(c.outputs, kept{key: r.key, index: o.Index, size: len(o.Output)})
+		c.keptBytes += len(o.Output)
+	}
+	if r.heldAt == 0 {
+		r.heldAt = c.now
+	}
+	c.unacked[r.key] = struct{}{}
+	if c.cfg.HoldResults == 0 || r.active == 0 || o.State != proto.StateDone {
+		c.flush(r)
+	}
+}
+
+func (c *RecordController) flush(r *jobRecord) {
+	r.heldAt = 0
+	r.sentAt = c.now
+	result := &proto.Result{Shard: r.shard, Key: r.key, Digest: r.digest, Load: c.load()}
+	for i := range r.tasks {
+		t := &r.tasks[i]
+		if !t.acked && final(t.outcome.State) {
+			t.held = false
+			result.Outcomes = append(result.Outcomes, t.outcome)
+		}
+	}
+	if owner := c.lease.OwnerOf(r.shard); owner != "" && len(result.Outcomes) > 0 {
+		c.send(owner, proto.Message{Result: result})
+	}
+}
+
+// Repeat sends all final outcomes of a job again, also acknowledged ones.
+func (c *RecordController) Repeat(r *jobRecord) {
+	for i := range r.tasks {
+		r.tasks[i].acked = false
+	}
+	if r.unsettled() {
+		c.unacked[r.key] = struct{}{}
+		c.flush(r)
+	}
+}
+
+func final(s proto.State) bool {
+	return s >= proto.StateDone
+}
+
+// Ack marks outcomes as held by the owner.
+func (c *RecordController) Ack(a *proto.Ack) {
+	r := c.jobs[a.Key]
+	if r == nil {
+		return
+	}
+	for _, index := range a.Indexes {
+		if t := r.task(index); t != nil && final(t.outcome.State) && !t.held {
+			t.acked = true
+		}
+	}
+	if !r.unsettled() {
+		delete(c.unacked, a.Key)
+	}
+}
+
+func (r *jobRecord) unsettled() bool {
+	return slices.ContainsFunc(r.tasks, func(t taskRecord) bool { return final(t.outcome.State) && !t.acked })
+}
+
+// Resend sends every unacknowledged outcome that belongs to an owner.
+func (c *RecordController) Resend(owner shard.ID) {
+	for _, r := range c.unackedJobs() {
+		if c.lease.OwnerOf(r.shard) == owner && r.heldAt == 0 {
+			c.flush(r)
+		}
+	}
+}
+
+func (c *RecordController) unackedJobs() []*jobRecord {
+	jobs := make([]*jobRecord, 0, len(c.unacked))
+	for key := range c.unacked {
+		jobs = append(jobs, c.jobs[key])
+	}
+	slices.SortFunc(jobs, func(a, b *jobRecord) int { return bytes.Compare(a.key[:], b.key[:]) })
+	return jobs
+}
+
+// Report answers a fence with the records of the shards, one message for each.
+func (c *RecordController) Report(to shard.ID, shards []proto.ShardEpoch) {
+	byShard := make(map[int][]proto.Record, len(shards))
+	for _, s := range shards {
+		byShard[s.Shard] = nil
+	}
+	for _, r := range c.jobs {
+		if list, ok := byShard[r.shard]; ok {
+			byShard[r.shard] = append(list, r.export())
+		}
+	}
+	for _, s := range shards {
+		list := byShard[s.Shard]
+		slices.SortFunc(list, func(a, b proto.Record) int { return bytes.Compare(a.Key[:], b.Key[:]) })
+		c.send(to, proto.Message{Fenced: &proto.Fenced{Shard: s.Shard, Epoch: s.Epoch, Records: list}})
+	}
+}
+
+func (r *jobRecord) export() proto.Record {
+	record := proto.Record{Key: r.key, Digest: r.digest}
+	for i := range r.tasks {
+		record.Outcomes = append(record.Outcomes, r.tasks[i].outcome)
+	}
+	return record
+}
+
+// Tick sends held and unacknowledged outcomes that are due and drops what is older than the retention time.
+func (c *RecordController) Tick() {
+	for _, r := range c.unackedJobs() {
+		held := r.heldAt != 0 && c.now-r.heldAt >= c.cfg.HoldResults
+		lost := r.heldAt == 0 && c.now-r.sentAt >= resendAfter
+		if held || lost {
+			c.flush(r)
+		}
+	}
+	c.dropOutputs()
+	c.expire()
+}
+
+// dropOutputs drops the oldest acknowledged outputs while more bytes are kept than allowed.
+func (c *RecordController) dropOutputs() {
+	for c.keptBytes > c.cfg.KeepBytes && len(c.outputs) > 0 {
+		oldest := c.outputs[0]
+		if r := c.jobs[oldest.key]; r != nil {
+			t := r.task(oldest.index)
+			if !t.acked {
+				return
+			}
+			t.outcome.Output = nil
+			t.outcome.Dropped = true
+		}
+		c.outputs = c.outputs[1:]
+		c.keptBytes -= oldest.size
+	}
+}
+
+func (c *RecordController) expire() {
+	if c.lease.m == nil {
+		return
+	}
+	retention := c.lease.m.Terms.Retention
+	for len(c.expiry) > 0 && c.now-c.expiry[0].since >= retention {
+		r := c.jobs[c.expiry[0].key]
+		c.expiry = c.expiry[1:]
+		if r.active > 0 || c.now-r.touched < retention {
+			c.expiry = append(c.expiry, due{key: r.key, since: max(r.touched, c.now-retention/2)})
+			continue
+		}
+		delete(c.jobs, r.key)
+		delete(c.unacked, r.key)
+	}
+}
--- /dev/null
+++ b/internal/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds the commands of the corianderspur program.
+package cmds
--- /dev/null
+++ b/internal/conf/doc.go
@@ -0,0 +1,2 @@
+// Package conf reads and checks the settings of each process.
+package conf
--- /dev/null
+++ b/internal/entry/agent_controller.go
@@ -0,0 +1,359 @@
+package entry
+
+import (
+	"slices"
+	"strings"
+
+	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/event"
+	"corianderspur.example/corianderspur/internal/proto"
+	"corianderspur.example/corianderspur/internal/shard"
+	"corianderspur.example/corianderspur/pkg/label"
+)
+
+const (
+	// avoidFor is how long an agent is passed over after it refused a start, in milliseconds.
+	avoidFor = 20 * clock.Millis(1)
+	// learnWeight is the weight of the newest sample in moving averages.
+	learnWeight = 0.1
+	// firstRunTime is the run time assumed before any task has ended, in milliseconds.
+	firstRunTime = 300.0
+	// slowest bounds by how much a worker's slowness counts in the choice.
+	slowest = 20.0
+)
+
+type agentView struct {
+	id        shard.ID
+	worker    string
+	zone      string
+	labels    label.Set
+	own       label.Set
+	load      proto.Load
+	known     bool
+	connected bool
+	heard     clock.Millis
+	reported  clock.Millis
+	sent      int
+	inFlight  int
+	avoid     clock.Millis
+	slow      float64
+	lost      bool
+}
+
+// AgentController keeps what this entry knows of each agent and chooses the agent for each task.
+type AgentController struct {
+	*common
+	maps     *MapController
+	config   *ConfigController
+	views    []*agentView
+	byID     map[shard.ID]*agentView
+	eligible map[string][]*agentView
+	runTime  map[string]float64
+	meanRun  float64
+	// onLost is called when tasks at an agent must be given up.
+	onLost func(id shard.ID)
+	// onRenamed is called when an agent goes on under a new identity.
+	onRenamed func(from, to shard.ID)
+}
+
+// NewAgentController creates a controller that knows no agents.
+func NewAgentController(c *common, maps *MapController, config *ConfigController) *AgentController {
+	return &AgentController{
+		common: c, maps: maps, config: config, byID: map[shard.ID]*agentView{},
+		eligible: map[string][]*agentView{}, runTime: map[string]float64{}, meanRun: firstRunTime,
+	}
+}
+
+// Invalidate forgets which agents each rule allows.
+func (c *AgentController) Invalidate() {
+	for _, v := range c.views {
+		v.labels = c.config.policy.WorkerLabels(v.worker, v.own)
+	}
+	clear(c.eligible)
+}
+
+// SessionUp notes that an agent can be reached.
+func (c *AgentController) SessionUp(id shard.ID) {
+	v := c.byID[id]
+	if v == nil {
+		v = &agentView{id: id, slow: 1}
+		c.byID[id] = v
+		c.views = append(c.views, v)
+		slices.SortFunc(c.views, func(a, b *agentView) int { return strings.Compare(string(a.id), string(b.id)) })
+	}
+	v.connected = true
+	v.lost = false
+	v.heard = c.now
+	clear(c.eligible)
+}
+
+// SessionDown notes that an agent cannot be reached now.
+func (c *AgentController) SessionDown(id shard.ID) {
+	if v := c.byID[id]; v != nil {
+		v.connected = false
+	}
+}
+
+// Ping takes an agent's heartbeat.
+func (c *AgentController) Ping(from shard.ID, p *proto.Ping) {
+	v := c.byID[from]
+	if v == nil {
+		return
+	}
+	if p.Worker != "" {
+		c.describe(v, p)
+	}
+	c.Report(v, p.Load)
+	if p.Gone {
+		v.connected = false
+		c.giveUp(v)
+		c.strike(from)
+	}
+}
+
+func (c *AgentController) describe(v *agentView, p *proto.Ping) {
+	v.worker = p.Worker
+	v.zone = p.Zone
+	v.known = true
+	v.own = p.Labels.Merge(label.Set{"worker": p.Worker, "availability_zone": p.Zone})
+	c.Invalidate()
+	for _, other := range slices.Clone(c.views) {
+		if other == v || other.worker != v.worker {
+			continue
+		}
+		if base(other.id) == base(v.id) {
+			v.inFlight = other.inFlight
+			c.onRenamed(other.id, v.id)
+		}
+		c.giveUp(other)
+	}
+}
+
+// base returns an agent's identity without the count of its renewals.
+func base(id shard.ID) string {
+	name, _, _ := strings.Cut(string(id), ".")
+	return name
+}
+
+// Report takes the load that an agent put on a message.
+func (c *AgentController) Report(v *agentView, load proto.Load) {
+	v.heard = c.now
+	v.reported = c.now
+	v.load = load
+	v.sent = 0
+}
+
+// Sent counts a start that was sent to an agent.
+func (c *AgentController) Sent(v *agentView) {
+	v.sent++
+	v.inFlight++
+}
+
+// Ended counts the end of a task at an agent and learns from its run time.
+func (c *AgentController) Ended(id shard.ID, kind string, o *proto.Outcome) {
+	v := c.byID[id]
+	if v == nil {
+		return
+	}
+	v.inFlight = max(0, v.inFlight-1)
+	switch o.State {
+	case proto.StateRefused:
+		v.avoid = c.now + avoidFor
+		if o.Refusal == proto.ReasonStale {
+			v.avoid = c.now + avoidFor*10
+		}
+	case proto.StateDone:
+		c.learn(v, kind, max(1, float64(o.RunTime)))
+	}
+}
+
+func (c *AgentController) learn(v *agentView, kind string, took float64) {
+	mean, ok := c.runTime[kind]
+	if !ok {
+		mean = took
+	}
+	ratio := min(slowest, took/mean)
+	v.slow += learnWeight * (ratio - v.slow)
+	normal := took / max(1, v.slow)
+	c.runTime[kind] = mean + learnWeight*(normal-mean)
+	c.meanRun += learnWeight * (normal - c.meanRun)
+	if len(c.runTime) > maxKinds {
+		clear(c.runTime)
+	}
+}
+
+// maxKinds bounds the kinds of request whose run time is learned.
+const maxKinds = 1000
+
+// RunTime returns the expected run time of a kind of request, in milliseconds.
+func (c *AgentController) RunTime(kind string) float64 {
+	if mean, ok := c.runTime[kind]; ok {
+		return mean
+	}
+	return c.meanRun
+}
+
+// Slots returns the number of slots at agents that take tasks.
+func (c *AgentController) Slots() int {
+	n := 0
+	for _, v := range c.views {
+		if v.usable() {
+			n += v.load.Slots
+		}
+	}
+	return n
+}
+
+func (v *agentView) usable() bool {
+	return v.connected && v.known && !v.lost && !v.load.Leaving && !v.load.Ejected && v.load.Slots > 0
+}
+
+// Eligible returns the agents on which a rule allows tasks to run, also those that are busy or not connected now.
+func (c *AgentController) Eligible(rule string, selector label.Selector) []*agentView {
+	list, ok := c.eligible[rule]
+	if !ok {
+		for _, v := range c.views {
+			if v.known && !v.lost && selector.Matches(v.labels) {
+				list = append(list, v)
+			}
+		}
+		c.eligible[rule] = list
+	}
+	return list
+}
+
+// sampleAbove is the number of agents above which only a random sample of them is compared.
+const (
+	sampleAbove = 32
+	sampleSize  = 4
+)
+
+// Choose returns the agent with the least expected wait that has room for a task, or nil.
+func (c *AgentController) Choose(list []*agentView, urgent, repeatable bool) *agentView {
+	if c.cfg.Baseline {
+		return c.chooseRandom(list)
+	}
+	if len(list) > sampleAbove {
+		if v := c.best(c.sample(list), urgent, repeatable); v != nil {
+			return v
+		}
+	}
+	return c.best(list, urgent, repeatable)
+}
+
+func (c *AgentController) sample(list []*agentView) []*agentView {
+	picked := make([]*agentView, 0, sampleSize)
+	for range sampleSize {
+		picked = append(picked, list[c.rng.IntN(len(list))])
+	}
+	return picked
+}
+
+func (c *AgentController) best(list []*agentView, urgent, repeatable bool) *agentView {
+	var best *agentView
+	bestScore := 0.0
+	offset := c.rng.IntN(len(list) + 1)
+	for i := range list {
+		v := list[(i+offset)%len(list)]
+		if !c.hasRoom(v, urgent, repeatable) {
+			continue
+		}
+		score := c.score(v)
+		if best == nil || score < bestScore {
+			best, bestScore = v, score
+		}
+	}
+	return best
+}
+
+func (c *AgentController) hasRoom(v *agentView, urgent, repeatable bool) bool {
+	if !v.usable() || c.now < v.avoid {
+		return false
+	}
+	outstanding := c.outstanding(v)
+	if v.load.Trial {
+		return repeatable && outstanding < 1
+	}
+	if urgent {
+		return outstanding < float64(v.load.Slots+1)
+	}
+	return outstanding < float64(max(1, v.load.Slots-c.cfg.UrgentSlots)+1)
+}
+
+// score orders agents by the wait to expect at them; the entry's own availability zone breaks ties.
+func (c *AgentController) score(v *agentView) float64 {
+	free := float64(v.load.Slots) - c.outstanding(v)
+	score := v.slow
+	if free < 1 {
+		score += v.slow * (2 - free)
+	} else {
+		score += 0.1 * (1 - free/float64(v.load.Slots))
+	}
+	if v.zone != c.cfg.Zone {
+		score += 0.01
+	}
+	return score
+}
+
+// outstanding estimates the tasks at an agent: the last report, less what has ended since, plus what was sent since.
+func (c *AgentController) outstanding(v *agentView) float64 {
+	reported := float64(v.load.Running + v.load.Queued)
+	others := max(0, reported+float64(v.sent)-float64(v.inFlight))
+	age := float64(c.now - v.reported)
+	ended := age / (c.meanRun * max(1, v.slow)) * min(others, float64(v.load.Slots))
+	return float64(v.inFlight) + max(0, others-ended)
+}
+
+func (c *AgentController) chooseRandom(list []*agentView) *agentView {
+	for range len(list) * 2 {
+		v := list[c.rng.IntN(len(list))]
+		if v.usable() {
+			return v
+		}
+	}
+	return nil
+}
+
+// Tick gives up tasks at agents that have been gone too long and has silent agents struck off.
+func (c *AgentController) Tick() {
+	for _, v := range slices.Clone(c.views) {
+		silent := c.now - v.heard
+		if !v.connected && !v.lost && silent > c.cfg.LostAfter {
+			c.giveUp(v)
+		}
+		if silent > c.cfg.StrikeAfter && c.maps.IsMember() && !c.maps.m.Cold && c.maps.isFirstAlive() {
+			c.strike(v.id)
+		}
+	}
+}
+
+func (c *AgentController) strike(id shard.ID) {
+	if c.maps.IsMember() && c.maps.isFirstAlive() {
+		c.maps.Strike(id)
+	}
+}
+
+func (c *AgentController) giveUp(v *agentView) {
+	if v.lost {
+		return
+	}
+	v.lost = true
+	v.inFlight = 0
+	clear(c.eligible)
+	c.emit(event.Note{Name: "agent_lost", Peer: v.id})
+	c.onLost(v.id)
+}
+
+// Prune forgets agents that the map marks as lost.
+func (c *AgentController) Prune() {
+	for _, l := range c.maps.m.Lost {
+		v := c.byID[l.Agent]
+		if v == nil || v.connected {
+			continue
+		}
+		c.giveUp(v)
+		delete(c.byID, l.Agent)
+		c.views = slices.DeleteFunc(c.views, func(x *agentView) bool { return x == v })
+	}
+	clear(c.eligible)
+}
--- /dev/null
+++ b/internal/entry/job_controller.go
@@ -0,0 +1,590 @@
+package entry
+
+import (
+	"bytes"
+	"slices"
+
+	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/event"
+	"corianderspur.example/corianderspur/internal/proto"
+	"corianderspur.example/corianderspur/internal/shard"
+)
+
+type parkedForward struct {
+	from    shard.ID
+	forward *proto.Forward
+	until   clock.Millis
+}
+
+type dueJob struct {
+	key   shard.Key
+	since clock.Millis
+}
+
+// JobController keeps the jobs of the shards that this entry owns from their admission to the end of the retention time.
+type JobController struct {
+	*common
+	maps     *MapController
+	config   *ConfigController
+	shards   *ShardController
+	agents   *AgentController
+	admit    *AdmissionController
+	dispatch *DispatchController
+	checks   *CheckController
+	jobs     map[shard.Key]*job
+	live     []*job
+	parked   []parkedForward
+	expiry   []dueJob
+	// deliver passes an answer to the entry that waits for it.
+	deliver func(to shard.ID, a *proto.Answer)
+}
+
+// NewJobController creates a controller without jobs.
+func NewJobController(c *common) *JobController {
+	return &JobController{common: c, jobs: map[shard.Key]*job{}}
+}
+
+// Submit joins, admits or parks a job that an entry passed on.
+func (c *JobController) Submit(from shard.ID, f *proto.Forward) {
+	if c.maps.m == nil || c.shards.Owned(c.maps.m.Of(f.Job.Key)) == nil {
+		c.parked = append(c.parked, parkedForward{from: from, forward: f, until: c.now + f.Job.Budget})
+		return
+	}
+	j := c.jobs[f.Job.Key]
+	if j != nil && f.Job.Digest != 0 && j.digest != f.Job.Digest {
+		c.deliver(from, &proto.Answer{
+			Key: j.key, Digest: f.Job.Digest, Status: proto.StatusRefused, Run: j.ran(), Reason: proto.ReasonConflict,
+		})
+		return
+	}
+	switch {
+	case j != nil && j.answer != nil && !revivable(j.answer):
+		c.redeliver(j, from)
+	case j != nil && j.content != nil && j.answer == nil:
+		j.wait(from)
+		j.deadline = max(j.deadline, c.now+f.Job.Budget)
+	case !f.Wait:
+		c.unknown(from, f, j)
+	default:
+		c.enter(from, f, j)
+	}
+}
+
+// revivable reports whether a job may be tried afresh because it was refused and never ran.
+func revivable(a *proto.Answer) bool {
+	return a.Status == proto.StatusRefused && a.Run == proto.RanNo
+}
+
+func (c *JobController) redeliver(j *job, to shard.ID) {
+	c.touch(j)
+	c.emit(event.Note{Name: "answer_repeated", Job: j.id(), Reason: string(j.answer.Status)})
+	c.deliver(to, j.answer)
+}
+
+func (c *JobController) unknown(from shard.ID, f *proto.Forward, j *job) {
+	a := &proto.Answer{Key: f.Job.Key, Status: proto.StatusRefused, Run: proto.RanUnknown, Reason: proto.ReasonUnknownJob}
+	if j != nil && j.ran() == proto.RanYes {
+		a.Run = proto.RanYes
+	}
+	if j == nil && c.shards.Owned(c.maps.m.Of(f.Job.Key)).clean {
+		a.Run = proto.RanNo
+	}
+	c.verdict(from, a)
+}
+
+// verdict delivers an answer, after a check if it says that nothing ran.
+func (c *JobController) verdict(to shard.ID, a *proto.Answer) {
+	if a.Run == proto.RanNo {
+		c.checks.Add(to, a)
+		return
+	}
+	c.deliver(to, a)
+}
+
+// enter admits a job that has no content here yet, though agents may have records of it.
+func (c *JobController) enter(from shard.ID, f *proto.Forward, j *job) {
+	state := c.shards.Owned(c.maps.m.Of(f.Job.Key))
+	decision := c.config.policy.Decide(f.Job.Labels)
+	fresh := j == nil || j.ran() == proto.RanNo
+	if fresh {
+		if reason, retry := c.admit.Refusal(&f.Job, decision); reason != "" {
+			c.refuse(from, f, state, reason, retry)
+			return
+		}
+	}
+	if j == nil {
+		j = c.add(f.Job.Key, state.number, f.Job.Digest)
+	}
+	content := f.Job
+	j.content = &content
+	j.decision = decision
+	j.answer = nil
+	j.accepted = c.now
+	j.deadline = c.now + content.Budget
+	j.wait(from)
+	j.tasks = slices.Grow(j.tasks, max(0, len(content.Tasks)-len(j.tasks)))[:len(content.Tasks)]
+	c.live = append(c.live, j)
+	c.emit(event.Note{
+		Name: "job_accepted", Job: j.id(), Tenant: j.tenant(), Class: className(decision.Urgent), Reason: decision.Rule,
+		Count: len(j.tasks),
+	})
+	c.begin(j, state)
+}
+
+func (c *JobController) refuse(to shard.ID, f *proto.Forward, state *shardState, reason proto.Reason, retry clock.Millis) {
+	a := &proto.Answer{
+		Key: f.Job.Key, Digest: f.Job.Digest, Status: proto.StatusRefused, Run: proto.RanNo, Reason: reason, RetryAfter: retry,
+	}
+	if !state.clean {
+		a.Run = proto.RanUnknown
+	}
+	c.emit(event.Note{Name: "job_refused", Job: f.Job.ID, Tenant: f.Job.Tenant, Reason: string(reason)})
+	c.verdict(to, a)
+}
+
+func (c *JobController) add(key shard.Key, number int, digest uint64) *job {
+	j := &job{key: key, shard: number, digest: digest, touched: c.now}
+	c.jobs[key] = j
+	c.expiry = append(c.expiry, dueJob{key: key, since: c.now})
+	return j
+}
+
+func (c *JobController) touch(j *job) {
+	j.touched = c.now
+}
+
+// begin queues what provably did not start and takes what agents have already done.
+func (c *JobController) begin(j *job, state *shardState) {
+	j.left = len(j.tasks)
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		switch {
+		case t.state == taskDone && t.dropped:
+			c.fail(j, proto.ReasonLost)
+			return
+		case t.state == taskDone:
+			j.left--
+		case t.state == taskFailed && !c.mayRepeat(j, t):
+			c.fail(j, proto.ReasonTaskFailed)
+			return
+		case t.state == taskPending && !state.clean && !j.decision.Repeatable:
+			c.failAs(j, proto.ReasonUncertain, proto.RanUnknown)
+			return
+		}
+	}
+	if j.left == 0 {
+		c.complete(j)
+		return
+	}
+	for i := range j.tasks {
+		if s := j.tasks[i].state; s == taskPending || s == taskFailed {
+			c.dispatch.Queue(j, i)
+		}
+	}
+}
+
+func (c *JobController) mayRepeat(j *job, t *task) bool {
+	return j.decision.Repeatable && t.attempt < j.decision.MaxAttempts
+}
+
+// Result takes outcomes from an agent and acknowledges them.
+func (c *JobController) Result(from shard.ID, r *proto.Result) {
+	if v := c.agents.byID[from]; v != nil {
+		c.agents.Report(v, r.Load)
+	}
+	s := c.shards.Held(r.Shard)
+	if s == nil {
+		return
+	}
+	c.take(s, from, r.Key, r.Digest, r.Outcomes)
+}
+
+// Records takes what an agent holds of a shard and requeues what it was sent and never got.
+func (c *JobController) Records(s *shardState, from shard.ID, records []proto.Record) {
+	held := make(map[shard.Key][]proto.Outcome, len(records))
+	for _, r := range records {
+		held[r.Key] = r.Outcomes
+		c.take(s, from, r.Key, r.Digest, r.Outcomes)
+	}
+	for _, j := range slices.Clone(c.live) {
+		if j.shard == s.number && j.live() {
+			c.requeueMissing(j, from, held[j.key])
+		}
+	}
+}
+
+func (c *JobController) requeueMissing(j *job, from shard.ID, held []proto.Outcome) {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		known := slices.ContainsFunc(held, func(o proto.Outcome) bool { return o.Index == i })
+		if t.state == taskSent && t.imported && base(t.agent) == base(from) && !known {
+			t.state = taskPending
+			c.dispatch.Queue(j, i)
+		}
+	}
+}
+
+func (c *JobController) take(s *shardState, from shard.ID, key shard.Key, digest uint64, outcomes []proto.Outcome) {
+	j := c.jobs[key]
+	if j == nil {
+		j = c.add(key, s.number, digest)
+	}
+	ack := &proto.Ack{Key: key}
+	for i := range outcomes {
+		o := &outcomes[i]
+		c.apply(j, from, o)
+		if o.State >= proto.StateDone {
+			ack.Indexes = append(ack.Indexes, o.Index)
+		}
+	}
+	if len(ack.Indexes) > 0 {
+		c.sendLazy(from, proto.Message{Ack: ack})
+	}
+}
+
+// apply brings what is known of a task up to date with one outcome.
+func (c *JobController) apply(j *job, from shard.ID, o *proto.Outcome) {
+	t := j.task(o.Index)
+	if t == nil || t.state == taskDone {
+		c.emit(event.Note{Name: "message_wasted", Reason: "doubled", Quiet: true})
+		return
+	}
+	expected := t.state == taskSent && base(t.agent) == base(from)
+	if expected && o.State >= proto.StateDone {
+		c.agents.Ended(from, j.kind(), o)
+	}
+	if o.State == proto.StateRefused {
+		c.applyRefusal(j, t, o, expected)
+		return
+	}
+	if t.state == taskSent && !expected && o.State != proto.StateDone {
+		return
+	}
+	t.attempt = max(t.attempt, o.Attempt)
+	t.agent = from
+	t.imported = false
+	t.state = remember(o)
+	t.output = o.Output
+	t.dropped = o.Dropped
+	if !j.live() {
+		return
+	}
+	switch t.state {
+	case taskDone:
+		c.taskDone(j, t)
+	case taskFailed:
+		c.taskFailed(j, o.Index, t)
+	}
+}
+
+func (c *JobController) applyRefusal(j *job, t *task, o *proto.Outcome, expected bool) {
+	if !expected || o.Attempt < t.attempt {
+		t.attempt = max(t.attempt, o.Attempt)
+		return
+	}
+	t.attempt = o.Attempt
+	t.state = taskPending
+	c.emit(event.Note{Name: "message_wasted", Reason: string(o.Refusal), Quiet: true})
+	if j.live() {
+		c.dispatch.Queue(j, o.Index)
+	}
+}
+
+func (c *JobController) taskDone(j *job, t *task) {
+	if t.dropped {
+		c.fail(j, proto.ReasonLost)
+		return
+	}
+	j.left--
+	if j.left == 0 {
+		c.complete(j)
+	}
+}
+
+func (c *JobController) taskFailed(j *job, index int, t *task) {
+	if c.mayRepeat(j, t) && c.dispatch.SpendRetry() {
+		c.emit(event.Note{Name: "task_retried", Job: j.id(), Count: t.attempt})
+		c.dispatch.Queue(j, index)
+		return
+	}
+	c.fail(j, proto.ReasonTaskFailed)
+}
+
+func (c *JobController) complete(j *job) {
+	results := make([][]byte, len(j.tasks))
+	for i := range j.tasks {
+		results[i] = j.tasks[i].output
+	}
+	c.finish(j, &proto.Answer{
+		Key: j.key, Digest: j.digest, Status: proto.StatusComplete, Run: proto.RanYes, Results: results, Starts: j.starts,
+	})
+}
+
+func (c *JobController) fail(j *job, reason proto.Reason) {
+	run := j.ran()
+	if run == proto.RanNo && !c.shards.shards[j.shard].clean {
+		run = proto.RanUnknown
+	}
+	c.failAs(j, reason, run)
+}
+
+// failAs ends a job; a job of which nothing ran is answered after a check.
+func (c *JobController) failAs(j *job, reason proto.Reason, run proto.Ran) {
+	a := &proto.Answer{Key: j.key, Digest: j.digest, Status: proto.StatusFailed, Run: run, Reason: reason, Starts: j.starts}
+	if run == proto.RanNo {
+		j.ending = true
+		c.checks.Add("", a)
+		return
+	}
+	c.finish(j, a)
+}
+
+// finish stores the answer of a job, gives it to everyone who waits, and stops what still runs.
+func (c *JobController) finish(j *job, a *proto.Answer) {
+	c.revoke(j, a)
+	j.answer = a
+	j.ending = false
+	c.touch(j)
+	waiters := j.waiters
+	j.waiters = nil
+	c.emit(event.Note{
+		Name: "job_answered", Job: j.id(), Tenant: j.tenant(), Class: className(j.decision.Urgent),
+		Reason: string(a.Status) + reasonSuffix(a.Reason), Count: j.starts, Took: c.now - j.accepted,
+	})
+	for _, w := range waiters {
+		c.deliver(w, a)
+	}
+	if j.content != nil {
+		j.content = &proto.Job{ID: j.content.ID, Tenant: j.content.Tenant}
+	}
+	if a.Status == proto.StatusComplete {
+		for i := range j.tasks {
+			j.tasks[i].output = nil
+		}
+	}
+}
+
+func reasonSuffix(r proto.Reason) string {
+	if r == "" {
+		return ""
+	}
+	return "_" + string(r)
+}
+
+func (c *JobController) revoke(j *job, a *proto.Answer) {
+	if a.Status == proto.StatusComplete {
+		return
+	}
+	var told []shard.ID
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.state == taskSent && !slices.Contains(told, t.agent) {
+			told = append(told, t.agent)
+			c.send(t.agent, proto.Message{Revoke: &proto.Revoke{Key: j.key}})
+		}
+	}
+}
+
+// Checked finishes an answer that says that nothing ran, now that this was confirmed or could not be.
+func (c *JobController) Checked(to shard.ID, a *proto.Answer, confirmed bool) {
+	j := c.jobs[a.Key]
+	if !confirmed || (j != nil && j.ran() != proto.RanNo) {
+		a.Run = proto.RanUnknown
+	}
+	if to != "" {
+		c.reply(to, j, a)
+		return
+	}
+	if j != nil && j.ending && j.answer == nil {
+		c.finish(j, a)
+	}
+}
+
+// reply gives a checked answer, unless another copy of the job was taken up meanwhile.
+func (c *JobController) reply(to shard.ID, j *job, a *proto.Answer) {
+	switch {
+	case j != nil && (j.live() || j.ending) && j.digest == a.Digest:
+		j.wait(to)
+	case j != nil && j.answer != nil && j.digest == a.Digest:
+		c.deliver(to, j.answer)
+	default:
+		c.deliver(to, a)
+	}
+}
+
+// Cancel ends a job on a caller's request.
+func (c *JobController) Cancel(key shard.Key) {
+	j := c.jobs[key]
+	if j == nil || !j.live() {
+		return
+	}
+	c.fail(j, proto.ReasonCancelled)
+}
+
+// AgentLost gives up what was sent to an agent: repeatable tasks are sent elsewhere, other jobs fail.
+func (c *JobController) AgentLost(id shard.ID) {
+	for _, j := range slices.Clone(c.live) {
+		if !j.live() {
+			continue
+		}
+		for i := range j.tasks {
+			t := &j.tasks[i]
+			if t.state != taskSent || t.agent != id || !j.live() {
+				continue
+			}
+			if c.mayRepeat(j, t) && c.dispatch.SpendRetry() {
+				t.state = taskPending
+				c.dispatch.Queue(j, i)
+				continue
+			}
+			c.fail(j, proto.ReasonLost)
+		}
+	}
+}
+
+// AgentRenamed follows an agent that goes on under a new identity.
+func (c *JobController) AgentRenamed(from, to shard.ID) {
+	for _, j := range c.live {
+		for i := range j.tasks {
+			if j.tasks[i].state == taskSent && j.tasks[i].agent == from {
+				j.tasks[i].agent = to
+			}
+		}
+	}
+}
+
+// Resend repeats the starts that an agent has not answered, after its session was opened anew.
+func (c *JobController) Resend(id shard.ID) {
+	for _, j := range c.live {
+		if !j.live() || c.shards.Owned(j.shard) == nil {
+			continue
+		}
+		for i := range j.tasks {
+			if j.tasks[i].state == taskSent && j.tasks[i].agent == id {
+				c.dispatch.Repeat(j, i)
+			}
+		}
+	}
+}
+
+// Tick ends jobs whose deadline has passed and forgets what is older than the retention time.
+func (c *JobController) Tick() {
+	kept := c.live[:0]
+	for _, j := range c.live {
+		if j.live() && c.now >= j.deadline {
+			c.fail(j, proto.ReasonDeadline)
+		}
+		if j.live() {
+			kept = append(kept, j)
+		}
+	}
+	clear(c.live[len(kept):])
+	c.live = kept
+	c.parked = slices.DeleteFunc(c.parked, func(p parkedForward) bool { return c.now >= p.until })
+	c.expire()
+}
+
+func (c *JobController) expire() {
+	if c.maps.m == nil {
+		return
+	}
+	retention := c.maps.m.Terms.Retention
+	for len(c.expiry) > 0 && c.now-c.expiry[0].since >= retention {
+		j := c.jobs[c.expiry[0].key]
+		c.expiry = c.expiry[1:]
+		if j == nil {
+			continue
+		}
+		if j.live() || c.now-j.touched < retention {
+			c.expiry = append(c.expiry, dueJob{key: j.key, since: max(j.touched, c.now-retention/2)})
+			continue
+		}
+		delete(c.jobs, j.key)
+	}
+}
+
+// Unpark takes up jobs that waited for a shard to be owned; those of other owners are dropped.
+func (c *JobController) Unpark() {
+	parked := c.parked
+	c.parked = nil
+	for _, p := range parked {
+		if c.now < p.until {
+			p.forward.Job.Budget = p.until - c.now
+			c.Submit(p.from, p.forward)
+		}
+	}
+}
+
+// Freeze stops all work on the jobs of a shard that was given away; their memory is kept for the new owner.
+func (c *JobController) Freeze(number int) {
+	for _, j := range c.live {
+		if j.shard == number {
+			j.frozen = true
+			j.waiters = nil
+		}
+	}
+}
+
+// Forget drops the memory of a shard before it is taken over anew.
+func (c *JobController) Forget(number int) {
+	for key, j := range c.jobs {
+		if j.shard == number {
+			j.frozen = true
+			delete(c.jobs, key)
+		}
+	}
+}
+
+// Export returns the memory of a shard in ascending order of keys.
+func (c *JobController) Export(number int) []proto.JobMemory {
+	var list []proto.JobMemory
+	for _, j := range c.jobs {
+		if j.shard != number {
+			continue
+		}
+		memory := proto.JobMemory{Key: j.key, Digest: j.digest, Age: c.now - j.touched, Answer: j.answer}
+		for _, t := range j.tasks {
+			memory.Tasks = append(memory.Tasks, t.export())
+		}
+		list = append(list, memory)
+	}
+	slices.SortFunc(list, func(a, b proto.JobMemory) int { return bytes.Compare(a.Key[:], b.Key[:]) })
+	return list
+}
+
+func (t *task) export() proto.TaskMemory {
+	m := proto.TaskMemory{Agent: t.agent, Attempt: t.attempt, Output: t.output}
+	switch t.state {
+	case taskSent:
+		m.State = proto.StateRunning
+	case taskDone:
+		m.State = proto.StateDone
+	case taskFailed:
+		m.State = proto.StateFailed
+	}
+	return m
+}
+
+// Import adds the memory of a former owner.
+func (c *JobController) Import(list []proto.JobMemory) {
+	for _, memory := range list {
+		j := c.jobs[memory.Key]
+		if j == nil {
+			j = c.add(memory.Key, c.maps.m.Of(memory.Key), memory.Digest)
+		}
+		j.answer = memory.Answer
+		for i, m := range memory.Tasks {
+			t := j.task(i)
+			if t == nil || t.state == taskDone {
+				continue
+			}
+			t.agent = m.Agent
+			t.attempt = max(t.attempt, m.Attempt)
+			t.output = m.Output
+			if m.State != 0 {
+				t.state = remember(&proto.Outcome{State: m.State})
+				t.imported = t.state == taskSent
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/map_controller.go
@@ -0,0 +1,494 @@
+package entry
+
+import (
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"corianderspur.example/corianderspur/internal/agent"
+	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/event"
+	"corianderspur.example/corianderspur/internal/proto"
+	"corianderspur.example/corianderspur/internal/shard"
+	"corianderspur.example/corianderspur/internal/table"
+)
+
+const (
+	// entryPrefix is the start of the keys of the rows by which entries show that they live.
+	entryPrefix = "entry/"
+	// lifeEvery is the time between writes of such a row, in milliseconds.
+	lifeEvery = 3 * clock.Second
+	// recentTable is how fresh the last reply of the table must be before the map is written, in milliseconds.
+	recentTable = 2 * clock.Second
+	joinEvery   = clock.Second
+	never       = clock.Millis(-1 << 40)
+)
+
+type peer struct {
+	heard         clock.Millis
+	mapVersion    uint64
+	configVersion uint64
+	connected     bool
+}
+
+// MapController holds the shard map and writes its next version when members or agents come, go or fail.
+type MapController struct {
+	*common
+	m       *shard.Map
+	pending *shard.Map
+	deletes []shard.ID
+	peers   map[shard.ID]*peer
+	adopted clock.Millis
+
+	call      uint64
+	casCall   bool
+	polledAt  clock.Millis
+	tableOK   clock.Millis
+	lifeAt    clock.Millis
+	beatAt    clock.Millis
+	joinAt    clock.Millis
+	lifeSeen  map[string]uint64
+	lifeFresh clock.Millis
+
+	lostSeen  map[shard.ID]clock.Millis
+	joins     []shard.Member
+	strikes   []shard.ID
+	stopping  bool
+	drained   bool
+	coldClear bool
+
+	// onMap is called after each adoption with the map held before it, or nil.
+	onMap func(before *shard.Map)
+	// onConfig is called with each row of the configuration that was read.
+	onConfig func(row table.Row)
+	// beat completes a heartbeat with the configuration's version and document.
+	beat func(p *peer, b *proto.Beat)
+}
+
+// NewMapController creates a controller that has not read the map yet.
+func NewMapController(c *common) *MapController {
+	return &MapController{
+		common: c, peers: map[shard.ID]*peer{}, lostSeen: map[shard.ID]clock.Millis{},
+		lifeSeen: map[string]uint64{}, polledAt: never, tableOK: never, lifeAt: never, beatAt: never,
+		joinAt: never, lifeFresh: c.now,
+	}
+}
+
+// IsMember reports whether the map names this entry.
+func (c *MapController) IsMember() bool {
+	return c.m != nil && c.m.Member(c.cfg.ID) != nil
+}
+
+// SessionUp starts to watch another entry.
+func (c *MapController) SessionUp(id shard.ID) {
+	p := c.peer(id)
+	p.connected = true
+	p.heard = c.now
+	c.sendBeat(id)
+}
+
+// SessionDown notes that another entry cannot be reached now.
+func (c *MapController) SessionDown(id shard.ID) {
+	c.peer(id).connected = false
+	if c.m == nil || c.m.Member(id) == nil {
+		delete(c.peers, id)
+	}
+}
+
+func (c *MapController) peer(id shard.ID) *peer {
+	p := c.peers[id]
+	if p == nil {
+		p = &peer{heard: c.now}
+		c.peers[id] = p
+	}
+	return p
+}
+
+// Beat takes another entry's heartbeat and adopts what it knows better.
+func (c *MapController) Beat(from shard.ID, b *proto.Beat) {
+	p := c.peer(from)
+	p.heard = c.now
+	p.mapVersion = b.MapVersion
+	p.configVersion = b.ConfigVersion
+	if b.Map != nil {
+		c.adopt(b.Map)
+	}
+}
+
+// Pong answers an agent's heartbeat, unless it is not known whether a write of the map took effect.
+func (c *MapController) Pong(from shard.ID, p *proto.Ping, configVersion uint64) {
+	if c.m == nil || c.pending != nil {
+		return
+	}
+	pong := &proto.Pong{Sent: p.Sent, ConfigVersion: configVersion}
+	if p.MapVersion < c.m.Version {
+		pong.Map = c.m
+	}
+	c.send(from, proto.Message{Pong: pong})
+}
+
+// Join notes that another entry wants to be named in the map.
+func (c *MapController) Join(j *proto.Join) {
+	if !slices.Contains(c.joins, j.Member) {
+		c.joins = append(c.joins, j.Member)
+	}
+}
+
+// Strike notes that an incarnation of an agent is gone.
+func (c *MapController) Strike(id shard.ID) {
+	if c.m != nil && !c.m.IsLost(id) && !slices.Contains(c.strikes, id) {
+		c.strikes = append(c.strikes, id)
+	}
+}
+
+// Stop begins a planned stop: the shards of this entry are given to others.
+func (c *MapController) Stop() {
+	c.stopping = true
+}
+
+// Drained ends a planned stop: this entry is taken out of the map.
+func (c *MapController) Drained() {
+	c.drained = true
+}
+
+// ClearCold tells that every agent has confirmed a cold start.
+func (c *MapController) ClearCold() {
+	c.coldClear = true
+}
+
+// Tick sends heartbeats, reads the table and writes the next map when they are due.
+func (c *MapController) Tick() {
+	if c.now-c.beatAt >= c.cfg.BeatEvery {
+		c.beatAt = c.now
+		c.BeatAll()
+	}
+	c.requestJoin()
+	if c.call != 0 {
+		return
+	}
+	if c.pending != nil {
+		c.writePending()
+		return
+	}
+	if c.proposeChange() {
+		return
+	}
+	if c.now-c.polledAt >= c.cfg.PollEvery {
+		c.poll()
+	}
+}
+
+// BeatAll sends a heartbeat to every connected entry.
+func (c *MapController) BeatAll() {
+	for _, id := range c.sortedPeers() {
+		if c.peers[id].connected {
+			c.sendBeat(id)
+		}
+	}
+}
+
+func (c *MapController) sortedPeers() []shard.ID {
+	ids := make([]shard.ID, 0, len(c.peers))
+	for id := range c.peers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (c *MapController) sendBeat(id shard.ID) {
+	p := c.peers[id]
+	b := &proto.Beat{}
+	if c.m != nil {
+		b.MapVersion = c.m.Version
+		if p.mapVersion < c.m.Version {
+			b.Map = c.m
+		}
+	}
+	c.beat(p, b)
+	c.send(id, proto.Message{Beat: b})
+}
+
+// requestJoin asks the members that can be reached, in turn, to name this entry.
+func (c *MapController) requestJoin() {
+	if c.m == nil || c.stopping || c.IsMember() || c.now-c.joinAt < joinEvery {
+		return
+	}
+	c.joinAt = c.now
+	for _, member := range c.m.Members {
+		if p := c.peers[member.ID]; p != nil && p.connected && c.now-p.heard < c.cfg.SuspectAfter {
+			c.send(member.ID, proto.Message{Join: &proto.Join{Member: c.self()}})
+			return
+		}
+	}
+}
+
+func (c *MapController) self() shard.Member {
+	return shard.Member{ID: c.cfg.ID, Addr: c.cfg.Addr, Zone: c.cfg.Zone}
+}
+
+func (c *MapController) poll() {
+	c.polledAt = c.now
+	txn := table.Txn{Keys: []string{agent.MapKey, ConfigKey}}
+	if c.IsMember() && c.now-c.lifeAt >= lifeEvery {
+		c.lifeAt = c.now
+		txn.Writes = []table.Write{{Key: entryPrefix + string(c.cfg.ID), Any: true, Value: []byte(c.cfg.Addr)}}
+	}
+	if !c.IsMember() {
+		txn.Prefixes = []string{entryPrefix}
+	}
+	c.call = c.nextCall()
+	c.emit(event.TableCall{Call: c.call, Txn: txn})
+}
+
+// writePending writes the pending map; repeating it after a lost reply settles whether it took effect.
+func (c *MapController) writePending() {
+	value, err := cbor.Marshal(c.pending)
+	if err != nil {
+		c.emit(event.Note{Name: "map_unencodable", Reason: err.Error()})
+		c.pending = nil
+		return
+	}
+	txn := table.Txn{
+		Writes: []table.Write{{Key: agent.MapKey, IfVersion: c.pending.Version - 1, Value: value}},
+		Keys:   []string{agent.MapKey, ConfigKey},
+	}
+	for _, id := range c.deletes {
+		txn.Writes = append(txn.Writes, table.Write{Key: agent.DirPrefix + string(id), Any: true})
+	}
+	c.call = c.nextCall()
+	c.casCall = true
+	c.emit(event.TableCall{Call: c.call, Txn: txn})
+}
+
+// TableDone takes the outcome of a read or a write of the map.
+func (c *MapController) TableDone(e event.TableDone) {
+	if e.Call != c.call {
+		return
+	}
+	cas := c.casCall
+	c.call = 0
+	c.casCall = false
+	if e.Err != nil {
+		return
+	}
+	c.tableOK = c.now
+	m := c.decode(e.Reply.Row(agent.MapKey))
+	if cas {
+		c.settle(e.Reply.Applied, m)
+	} else {
+		c.watchLife(e.Reply.Rows)
+		c.create(e.Reply.Row(agent.MapKey))
+	}
+	if m != nil {
+		c.adopt(m)
+	}
+	if row := e.Reply.Row(ConfigKey); row.Version > 0 {
+		c.onConfig(row)
+	}
+}
+
+func (c *MapController) decode(row table.Row) *shard.Map {
+	if row.Version == 0 {
+		return nil
+	}
+	m := &shard.Map{}
+	if err := cbor.Unmarshal(row.Value, m); err != nil {
+		c.emit(event.Note{Name: "map_unreadable", Reason: err.Error()})
+		return nil
+	}
+	return m
+}
+
+func (c *MapController) settle(applied bool, found *shard.Map) {
+	name := "map_write_lost_race"
+	if applied || (found != nil && found.Version == c.pending.Version && found.Writer == c.cfg.ID) {
+		name = "map_written"
+	}
+	c.emit(event.Note{Name: name, Version: c.pending.Version})
+	c.pending = nil
+	c.deletes = nil
+}
+
+// create proposes the first map of a deployment when the table has none.
+func (c *MapController) create(row table.Row) {
+	if row.Version == 0 && c.m == nil {
+		c.pending = shard.New(c.self(), c.cfg.Shards, c.cfg.Terms)
+	}
+}
+
+// watchLife notes when any entry of the map last showed a sign of life in the table.
+func (c *MapController) watchLife(rows []table.Row) {
+	for _, row := range rows {
+		if len(row.Key) <= len(entryPrefix) || row.Key[:len(entryPrefix)] != entryPrefix {
+			continue
+		}
+		id := shard.ID(row.Key[len(entryPrefix):])
+		known := c.m != nil && c.m.Member(id) != nil
+		if known && c.lifeSeen[row.Key] != row.Version {
+			c.lifeSeen[row.Key] = row.Version
+			c.lifeFresh = c.now
+		}
+	}
+}
+
+func (c *MapController) adopt(m *shard.Map) {
+	if c.m != nil && m.Version <= c.m.Version {
+		return
+	}
+	before := c.m
+	c.m = m
+	c.adopted = c.now
+	c.coldClear = false
+	c.noteLosses()
+	c.emit(event.Connect{Members: m.Members})
+	c.emit(event.Note{Name: "map_adopted", Version: m.Version, Count: len(m.Members)})
+	for _, member := range m.Members {
+		if before == nil || before.Member(member.ID) == nil {
+			c.peer(member.ID).heard = c.now
+		}
+	}
+	c.onMap(before)
+	c.BeatAll()
+}
+
+func (c *MapController) noteLosses() {
+	seen := make(map[shard.ID]clock.Millis, len(c.m.Lost))
+	for _, l := range c.m.Lost {
+		seen[l.Agent] = c.now
+		if at, ok := c.lostSeen[l.Agent]; ok {
+			seen[l.Agent] = at
+		}
+	}
+	c.lostSeen = seen
+	c.strikes = slices.DeleteFunc(c.strikes, c.m.IsLost)
+	c.joins = slices.DeleteFunc(c.joins, func(m shard.Member) bool { return c.m.Member(m.ID) != nil })
+}
+
+// proposeChange writes the next map if anything calls for one and the table answered lately.
+func (c *MapController) proposeChange() bool {
+	if c.m == nil || c.now-c.tableOK > recentTable {
+		return false
+	}
+	if !c.IsMember() {
+		return c.proposeColdStart()
+	}
+	next := c.m.Next(c.cfg.ID)
+	c.deletes = nil
+	changed := c.changeSelf(next)
+	changed = c.changeMembers(next) || changed
+	changed = c.changeAgents(next) || changed
+	if changed {
+		next.Balance()
+		c.pending = next
+		c.writePending()
+	}
+	return changed
+}
+
+func (c *MapController) changeSelf(next *shard.Map) bool {
+	changed := false
+	self := next.Member(c.cfg.ID)
+	if c.stopping && !self.Leaving {
+		self.Leaving = true
+		changed = true
+	}
+	if c.drained && len(next.Members) > 1 {
+		next.Remove(c.cfg.ID)
+		changed = true
+	}
+	if c.coldClear && next.Cold {
+		next.Cold = false
+		changed = true
+	}
+	return changed
+}
+
+func (c *MapController) changeMembers(next *shard.Map) bool {
+	changed := false
+	for _, member := range c.joins {
+		if p := c.peers[member.ID]; p != nil && p.connected {
+			next.Add(member)
+			changed = true
+		}
+	}
+	c.joins = nil
+	if !c.isFirstAlive() {
+		return changed
+	}
+	for _, member := range c.m.Members {
+		if c.suspected(member.ID) {
+			next.Remove(member.ID)
+			changed = true
+			c.emit(event.Note{Name: "entry_suspected", Peer: member.ID, Took: c.now - c.peer(member.ID).heard})
+		}
+	}
+	return changed
+}
+
+func (c *MapController) suspected(id shard.ID) bool {
+	return id != c.cfg.ID && c.now-c.peer(id).heard > c.cfg.SuspectAfter
+}
+
+// isFirstAlive reports whether this entry is the first member that it does not suspect.
+func (c *MapController) isFirstAlive() bool {
+	for _, member := range c.m.Members {
+		if !c.suspected(member.ID) {
+			return member.ID == c.cfg.ID
+		}
+	}
+	return false
+}
+
+func (c *MapController) changeAgents(next *shard.Map) bool {
+	changed := false
+	for _, id := range c.strikes {
+		next.Strike(id)
+		c.deletes = append(c.deletes, id)
+		changed = true
+		c.emit(event.Note{Name: "agent_struck", Peer: id})
+	}
+	c.strikes = nil
+	if !c.isFirstAlive() {
+		return changed
+	}
+	keep := c.m.Terms.Retention + c.m.Terms.Lease + c.m.Terms.Margin
+	count := len(next.Lost)
+	next.Lost = slices.DeleteFunc(next.Lost, func(l shard.Loss) bool {
+		at, ok := c.lostSeen[l.Agent]
+		return ok && c.now-at > keep
+	})
+	return changed || len(next.Lost) != count
+}
+
+// proposeColdStart replaces all members when none of them has shown any sign of life for long.
+func (c *MapController) proposeColdStart() bool {
+	if c.stopping || c.now-c.lifeFresh < c.cfg.ColdStartAfter || c.now-c.adopted < c.cfg.ColdStartAfter {
+		return false
+	}
+	for _, member := range c.m.Members {
+		if p := c.peers[member.ID]; p != nil && p.connected {
+			return false
+		}
+	}
+	next := c.m.Next(c.cfg.ID)
+	next.Cold = true
+	next.Members = []shard.Member{c.self()}
+	for i := range next.Shards {
+		next.Shards[i] = shard.Owner{ID: c.cfg.ID, Epoch: next.Shards[i].Epoch + 1}
+	}
+	c.pending = next
+	c.emit(event.Note{Name: "cold_start", Version: next.Version})
+	c.writePending()
+	return true
+}
+
+// FreshLoss reports whether an agent was struck off so lately that it may not know it yet.
+func (c *MapController) FreshLoss() bool {
+	for _, at := range c.lostSeen {
+		if c.now-at <= c.m.Terms.Lease+c.m.Terms.Margin {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,87 @@
+package event
+
+import (
+	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/proto"
+	"corianderspur.example/corianderspur/internal/shard"
+	"corianderspur.example/corianderspur/internal/table"
+)
+
+// Event is something that happened outside a state machine.
+type Event any
+
+// Action is something that a state machine wants done.
+type Action any
+
+// Received is a message from a connected process.
+type Received struct {
+	From    shard.ID
+	Message proto.Message
+}
+
+// SessionUp tells that a session with a process was opened.
+type SessionUp struct {
+	Peer shard.ID
+	Role proto.Role
+}
+
+// SessionDown tells that the last session with a process was closed.
+type SessionDown struct {
+	Peer shard.ID
+}
+
+// Tick tells that time has passed.
+type Tick struct{}
+
+// Stop asks for a planned stop.
+type Stop struct{}
+
+// TableDone is the outcome of a TableCall; after an error it is unknown whether its writes were applied.
+type TableDone struct {
+	Call  uint64
+	Reply table.Reply
+	Err   error
+}
+
+// Send passes a message to a connected process; it is lost if there is no session.
+type Send struct {
+	To      shard.ID
+	Message proto.Message
+	// Lazy messages wait for the next frame to the same process.
+	Lazy bool
+}
+
+// Connect sets the entries to which sessions are kept open.
+type Connect struct {
+	Members []shard.Member
+}
+
+// TableCall runs a transaction against the table service.
+type TableCall struct {
+	Call uint64
+	Txn  table.Txn
+}
+
+// Reset closes every session, drops what was received and not yet handled, and goes on under a new identity.
+type Reset struct {
+	ID shard.ID
+}
+
+// Exit ends the process after a planned stop.
+type Exit struct{}
+
+// Note is one line for the log and one step of a counter; unset fields are left out.
+type Note struct {
+	Name    string
+	Job     string
+	Tenant  string
+	Class   string
+	Reason  string
+	Peer    shard.ID
+	Shard   int
+	Version uint64
+	Count   int
+	Took    clock.Millis
+	// Quiet notes are counted and not logged.
+	Quiet bool
+}
--- /dev/null
+++ b/internal/load/doc.go
@@ -0,0 +1,2 @@
+// Package load offers jobs at a given rate, whatever the answers, and measures what becomes of them.
+package load
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,259 @@
+package mesh
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/go-faster/errors"
+
+	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/event"
+	"corianderspur.example/corianderspur/internal/proto"
+	"corianderspur.example/corianderspur/internal/shard"
+)
+
+// Path is the HTTP path at which entries accept sessions.
+const Path = "/session"
+
+// Bounds on sessions.
+const (
+	dialTimeout = 2 * time.Second
+	redialFirst = 100 * time.Millisecond
+	redialMost  = 2 * time.Second
+	writeLimit  = 5 * time.Second
+	maxQueue    = 100_000
+)
+
+// Inbox takes events for a state machine; Ready blocks while too many wait.
+type Inbox interface {
+	Push(ev event.Event)
+	Ready()
+}
+
+// Counter counts what goes over sessions: frames, their bytes, and messages by name.
+type Counter interface {
+	Frame(sent bool, bytes int, messages []proto.Message)
+}
+
+// Config is what a mesh is built from.
+type Config struct {
+	ID    shard.ID
+	Role  proto.Role
+	Inbox Inbox
+	// Counter may be nil.
+	Counter Counter
+	// BatchDelay is how long a frame waits for more messages, in milliseconds.
+	BatchDelay clock.Millis
+}
+
+// Mesh holds at most one session with each process.
+type Mesh struct {
+	cfg      Config
+	ctx      context.Context
+	stop     context.CancelFunc
+	wg       sync.WaitGroup
+	mu       sync.Mutex
+	id       shard.ID
+	sessions map[shard.ID]*session
+	dialers  map[shard.ID]context.CancelFunc
+}
+
+// New creates a mesh without sessions.
+func New(cfg Config) *Mesh {
+	ctx, stop := context.WithCancel(context.Background())
+	return &Mesh{
+		cfg: cfg, ctx: ctx, stop: stop, id: cfg.ID,
+		sessions: map[shard.ID]*session{}, dialers: map[shard.ID]context.CancelFunc{},
+	}
+}
+
+// ServeHTTP accepts a session.
+func (m *Mesh) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return
+	}
+	m.wg.Add(1)
+	defer m.wg.Done()
+	m.serve(m.ctx, conn)
+}
+
+// Connect keeps sessions to exactly these members open, besides those that others have opened.
+func (m *Mesh) Connect(members []shard.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	wanted := map[shard.ID]bool{}
+	for _, member := range members {
+		if m.dials(members, member.ID) {
+			wanted[member.ID] = true
+			m.dialLocked(member)
+		}
+	}
+	for id, cancel := range m.dialers {
+		if !wanted[id] {
+			cancel()
+			delete(m.dialers, id)
+		}
+	}
+}
+
+// dials reports whether this side opens the session: agents and newcomers always, else the entry with the higher id.
+func (m *Mesh) dials(members []shard.Member, id shard.ID) bool {
+	if id == m.id {
+		return false
+	}
+	named := false
+	for _, member := range members {
+		named = named || member.ID == m.id
+	}
+	return !named || m.id > id
+}
+
+func (m *Mesh) dialLocked(member shard.Member) {
+	if m.dialers[member.ID] != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(m.ctx)
+	m.dialers[member.ID] = cancel
+	m.wg.Add(1)
+	go m.dialLoop(ctx, member)
+}
+
+func (m *Mesh) dialLoop(ctx context.Context, member shard.Member) {
+	defer m.wg.Done()
+	pause := redialFirst
+	for ctx.Err() == nil {
+		if m.connected(member.ID) {
+			pause = redialFirst
+		} else if err := m.dial(ctx, member); err == nil {
+			pause = redialFirst
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		pause = min(pause*2, redialMost)
+	}
+}
+
+func (m *Mesh) connected(id shard.ID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sessions[id] != nil
+}
+
+// dial opens a session and serves it to its end.
+func (m *Mesh) dial(ctx context.Context, member shard.Member) error {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, _, err := websocket.Dial(dialCtx, "ws://"+member.Addr+Path, &websocket.DialOptions{
+		CompressionMode: websocket.CompressionDisabled,
+	})
+	if err != nil {
+		return errors.Wrap(err, "dial")
+	}
+	m.serve(ctx, conn)
+	return nil
+}
+
+// serve exchanges hellos and then carries messages until the session ends.
+func (m *Mesh) serve(ctx context.Context, conn *websocket.Conn) {
+	conn.SetReadLimit(proto.MaxFrame)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := &session{mesh: m, conn: conn, cancel: cancel, wake: make(chan struct{}, 1)}
+	defer conn.CloseNow()
+	hello, err := s.greet(ctx)
+	if err != nil {
+		return
+	}
+	if !m.add(s, hello) {
+		return
+	}
+	defer m.remove(s)
+	m.wg.Add(1)
+	go func() {
+		defer m.wg.Done()
+		defer cancel()
+		s.write(ctx)
+	}()
+	s.read(ctx)
+}
+
+func (m *Mesh) add(s *session, hello *proto.Hello) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s.self != m.id || m.ctx.Err() != nil {
+		return false
+	}
+	s.peer = hello.ID
+	if old := m.sessions[s.peer]; old != nil {
+		old.cancel()
+		m.cfg.Inbox.Push(event.SessionDown{Peer: s.peer})
+	}
+	m.sessions[s.peer] = s
+	m.cfg.Inbox.Push(event.SessionUp{Peer: s.peer, Role: hello.Role})
+	return true
+}
+
+func (m *Mesh) remove(s *session) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.sessions[s.peer] != s {
+		return
+	}
+	delete(m.sessions, s.peer)
+	m.cfg.Inbox.Push(event.SessionDown{Peer: s.peer})
+}
+
+// Send queues a message for the session with a process; without one it is lost.
+func (m *Mesh) Send(to shard.ID, msg proto.Message, lazy bool) {
+	m.mu.Lock()
+	s := m.sessions[to]
+	m.mu.Unlock()
+	if s != nil {
+		s.queue(msg, lazy)
+	}
+}
+
+// Reset closes every session and goes on under an identity.
+func (m *Mesh) Reset(id shard.ID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.id = id
+	for peer, s := range m.sessions {
+		s.cancel()
+		delete(m.sessions, peer)
+		m.cfg.Inbox.Push(event.SessionDown{Peer: peer})
+	}
+}
+
+// Flush waits until what was queued has been written, at most for a limit.
+func (m *Mesh) Flush(limit time.Duration) {
+	deadline := time.Now().Add(limit)
+	for time.Now().Before(deadline) && !m.idle() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (m *Mesh) idle() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.sessions {
+		if !s.idle() {
+			return false
+		}
+	}
+	return true
+}
+
+// Close ends every session and waits for its goroutines.
+func (m *Mesh) Close() {
+	m.stop()
+	m.wg.Wait()
+}
--- /dev/null
+++ b/internal/meter/doc.go
@@ -0,0 +1,2 @@
+// Package meter counts what a process does, by OpenTelemetry, and serves the figures.
+package meter
--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,144 @@
+package meter
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"corianderspur.example/corianderspur/internal/event"
+	"corianderspur.example/corianderspur/internal/proto"
+)
+
+// maxTenants bounds the tenants that have figures of their own; others share one.
+const maxTenants = 200
+
+var bounds = []float64{1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 30000}
+
+// Meter holds the instruments of one process.
+type Meter struct {
+	registry *prometheus.Registry
+	provider *sdk.MeterProvider
+
+	events   metric.Int64Counter
+	frames   metric.Int64Counter
+	bytes    metric.Int64Counter
+	messages metric.Int64Counter
+	response metric.Int64Histogram
+	wait     metric.Int64Histogram
+	version  metric.Int64Gauge
+
+	mu      sync.Mutex
+	tenants map[string]bool
+}
+
+// New creates a meter whose figures carry the name of the process.
+func New(process string) (m *Meter, err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "create meter")
+		}
+	}()
+	m = &Meter{registry: prometheus.NewRegistry(), tenants: map[string]bool{}}
+	reader, err := exporter.New(exporter.WithRegisterer(m.registry), exporter.WithoutScopeInfo())
+	if err != nil {
+		return nil, err
+	}
+	m.provider = sdk.NewMeterProvider(sdk.WithReader(reader))
+	mt := m.provider.Meter("corianderspur", metric.WithInstrumentationAttributes(attribute.String("process", process)))
+	return m, m.create(mt)
+}
+
+func (m *Meter) create(mt metric.Meter) (err error) {
+	if m.events, err = mt.Int64Counter("corianderspur.events"); err != nil {
+		return err
+	}
+	if m.frames, err = mt.Int64Counter("corianderspur.frames"); err != nil {
+		return err
+	}
+	if m.bytes, err = mt.Int64Counter("corianderspur.frame_bytes"); err != nil {
+		return err
+	}
+	if m.messages, err = mt.Int64Counter("corianderspur.messages"); err != nil {
+		return err
+	}
+	buckets := metric.WithExplicitBucketBoundaries(bounds...)
+	if m.response, err = mt.Int64Histogram("corianderspur.response_time_ms", buckets); err != nil {
+		return err
+	}
+	if m.wait, err = mt.Int64Histogram("corianderspur.queue_wait_ms", buckets); err != nil {
+		return err
+	}
+	m.version, err = mt.Int64Gauge("corianderspur.configuration_version")
+	return err
+}
+
+// Handler serves the figures in the Prometheus text format.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Note counts what a state machine noted.
+func (m *Meter) Note(n event.Note) {
+	ctx := context.Background()
+	class := attribute.String("class", n.Class)
+	count := max(1, int64(n.Count))
+	reason := n.Reason
+	switch n.Name {
+	case "job_answered":
+		m.response.Record(ctx, int64(n.Took), metric.WithAttributes(class, m.tenant(n.Tenant)))
+		count = 1
+	case "task_started":
+		m.wait.Record(ctx, int64(n.Took), metric.WithAttributes(class, m.tenant(n.Tenant)))
+	case "configuration_adopted":
+		m.version.Record(ctx, int64(n.Version))
+	case "map_unreadable", "configuration_unreadable", "configuration_refused", "map_unencodable", "job_accepted":
+		reason = ""
+	}
+	m.events.Add(ctx, count, metric.WithAttributes(
+		attribute.String("name", n.Name), attribute.String("reason", reason), class))
+}
+
+func (m *Meter) tenant(name string) attribute.KeyValue {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.tenants[name] {
+		if len(m.tenants) >= maxTenants {
+			name = "other"
+		}
+		m.tenants[name] = true
+	}
+	return attribute.String("tenant", name)
+}
+
+// Frame counts a frame that was sent or received.
+func (m *Meter) Frame(sent bool, bytes int, messages []proto.Message) {
+	ctx := context.Background()
+	direction := attribute.String("direction", "received")
+	if sent {
+		direction = attribute.String("direction", "sent")
+	}
+	purpose := attribute.String("purpose", purposeOf(messages))
+	m.frames.Add(ctx, 1, metric.WithAttributes(direction, purpose))
+	m.bytes.Add(ctx, int64(bytes), metric.WithAttributes(direction, purpose))
+	for i := range messages {
+		m.messages.Add(ctx, 1, metric.WithAttributes(direction, attribute.String("type", messages[i].Name())))
+	}
+}
+
+// purposeOf tells frames that carry work from those that only carry control messages.
+func purposeOf(messages []proto.Message) string {
+	for i := range messages {
+		if messages[i].IsWork() {
+			return "work"
+		}
+	}
+	return "control"
+}
--- /dev/null
+++ b/internal/node/notes.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"log/slog"
+	"os"
+
+	"github.com/go-logr/logr"
+
+	"corianderspur.example/corianderspur/internal/event"
+	"corianderspur.example/corianderspur/internal/meter"
+)
+
+// NewLogger creates a logger that writes one line of key=value pairs for each event to standard error.
+func NewLogger(process string) logr.Logger {
+	return logr.FromSlogHandler(slog.NewTextHandler(os.Stderr, nil)).WithValues("process", process)
+}
+
+// notes writes what a state machine notes to the log and the meter.
+type notes struct {
+	log   logr.Logger
+	meter *meter.Meter
+}
+
+func (n *notes) take(note event.Note) {
+	n.meter.Note(note)
+	if note.Quiet {
+		return
+	}
+	n.log.Info(note.Name, pairs(note)...)
+}
+
+func pairs(n event.Note) []any {
+	var kv []any
+	add := func(set bool, key string, value any) {
+		if set {
+			kv = append(kv, key, value)
+		}
+	}
+	add(n.Job != "", "job", n.Job)
+	add(n.Tenant != "", "tenant", n.Tenant)
+	add(n.Class != "", "class", n.Class)
+	add(n.Reason != "", "reason", n.Reason)
+	add(n.Peer != "", "peer", string(n.Peer))
+	add(n.Name == "shard_owned", "shard", n.Shard)
+	add(n.Version != 0, "version", n.Version)
+	add(n.Count != 0, "count", n.Count)
+	add(n.Took != 0, "took_ms", int64(n.Took))
+	return kv
+}
--- /dev/null
+++ b/internal/proto/message.go
@@ -0,0 +1,361 @@
+package proto
+
+import (
+	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/policy"
+	"corianderspur.example/corianderspur/internal/shard"
+	"corianderspur.example/corianderspur/pkg/label"
+)
+
+// Message carries exactly one of its fields; many messages share one frame.
+type Message struct {
+	Hello     *Hello     `cbor:"hello,omitempty"`
+	Ping      *Ping      `cbor:"ping,omitempty"`
+	Pong      *Pong      `cbor:"pong,omitempty"`
+	Beat      *Beat      `cbor:"beat,omitempty"`
+	Join      *Join      `cbor:"join,omitempty"`
+	Forward   *Forward   `cbor:"forward,omitempty"`
+	Answer    *Answer    `cbor:"answer,omitempty"`
+	Cancel    *Cancel    `cbor:"cancel,omitempty"`
+	Start     *Start     `cbor:"start,omitempty"`
+	Result    *Result    `cbor:"result,omitempty"`
+	Ack       *Ack       `cbor:"ack,omitempty"`
+	Revoke    *Revoke    `cbor:"revoke,omitempty"`
+	Fence     *Fence     `cbor:"fence,omitempty"`
+	Fenced    *Fenced    `cbor:"fenced,omitempty"`
+	Handover  *Handover  `cbor:"handover,omitempty"`
+	Handovers *Handovers `cbor:"handovers,omitempty"`
+	Check     *Check     `cbor:"check,omitempty"`
+	Checked   *Checked   `cbor:"checked,omitempty"`
+}
+
+// Role says what kind of process sent a Hello.
+type Role string
+
+// The roles of processes.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// Hello is the first message of each side of a session.
+type Hello struct {
+	ID   shard.ID `cbor:"id"`
+	Role Role     `cbor:"role"`
+}
+
+// Load tells how busy an agent is and whether it takes new tasks.
+type Load struct {
+	Slots   int  `cbor:"slots" json:"slots"`
+	Running int  `cbor:"running" json:"running"`
+	Queued  int  `cbor:"queued" json:"queued"`
+	Leaving bool `cbor:"leaving,omitempty" json:"leaving,omitempty"`
+	Ejected bool `cbor:"ejected,omitempty" json:"ejected,omitempty"`
+	// Trial says that the agent was ejected and now takes one task to prove itself.
+	Trial bool `cbor:"trial,omitempty" json:"trial,omitempty"`
+}
+
+// Ping is an agent's heartbeat; Sent is the time on the agent's clock, in milliseconds, at which it was sent.
+type Ping struct {
+	Sent          clock.Millis `cbor:"sent"`
+	MapVersion    uint64       `cbor:"map_version"`
+	ConfigVersion uint64       `cbor:"config_version"`
+	Worker        string       `cbor:"worker"`
+	Zone          string       `cbor:"zone"`
+	Labels        label.Set    `cbor:"labels,omitempty"`
+	Load          Load         `cbor:"load"`
+	Gone          bool         `cbor:"gone,omitempty"`
+}
+
+// Pong answers a Ping and repeats its Sent time; the map is included only when the agent's is older.
+type Pong struct {
+	Sent          clock.Millis `cbor:"sent"`
+	ConfigVersion uint64       `cbor:"config_version"`
+	Map           *shard.Map   `cbor:"map,omitempty"`
+}
+
+// Beat is the heartbeat between entries; the map and the document are included only when the receiver's are older.
+type Beat struct {
+	MapVersion    uint64           `cbor:"map_version"`
+	ConfigVersion uint64           `cbor:"config_version"`
+	Map           *shard.Map       `cbor:"map,omitempty"`
+	Config        *policy.Document `cbor:"config,omitempty"`
+}
+
+// Join asks a member of the map to name the sender in it.
+type Join struct {
+	Member shard.Member `cbor:"member"`
+}
+
+// Task is the input of one task of a job.
+type Task struct {
+	Payload []byte `cbor:"payload"`
+}
+
+// Job is a submission as a caller made it; Budget is the time left until its deadline, in milliseconds.
+type Job struct {
+	Key    shard.Key    `cbor:"key"`
+	ID     string       `cbor:"id"`
+	Tenant string       `cbor:"tenant"`
+	Labels label.Set    `cbor:"labels,omitempty"`
+	Budget clock.Millis `cbor:"budget"`
+	Digest uint64       `cbor:"digest"`
+	Tasks  []Task       `cbor:"tasks"`
+}
+
+// Forward passes a submission to the owner of its shard.
+type Forward struct {
+	Job Job `cbor:"job"`
+	// Wait is false when only a known job may be joined and nothing may be started.
+	Wait bool `cbor:"wait"`
+}
+
+// Status is the outcome of a job.
+type Status string
+
+// The outcomes of a job.
+const (
+	StatusComplete Status = "complete"
+	StatusFailed   Status = "failed"
+	StatusRefused  Status = "refused"
+)
+
+// Ran says whether any task of the job id has been started.
+type Ran string
+
+// What an answer can say about starts: none ever, at least one, or it cannot be known.
+const (
+	RanNo      Ran = "not_run"
+	RanYes     Ran = "ran"
+	RanUnknown Ran = "unknown"
+)
+
+// Reason is a fixed word that says why a job was not completed.
+type Reason string
+
+// The reasons for refusals and failures.
+const (
+	ReasonDenied     Reason = "denied"
+	ReasonQuota      Reason = "quota"
+	ReasonOverload   Reason = "overload"
+	ReasonNoWorker   Reason = "no_worker"
+	ReasonConflict   Reason = "other_content"
+	ReasonDeadline   Reason = "deadline"
+	ReasonCancelled  Reason = "cancelled"
+	ReasonTaskFailed Reason = "task_failed"
+	ReasonLost       Reason = "worker_lost"
+	ReasonUncertain  Reason = "records_lost"
+	ReasonStopping   Reason = "stopping"
+	ReasonUnknownJob Reason = "unknown_job"
+	ReasonStale      Reason = "stale"
+	ReasonOwner      Reason = "owner_unreachable"
+)
+
+// Answer is the whole answer to a job; Results has one entry per task if and only if Status is complete.
+type Answer struct {
+	Key        shard.Key    `cbor:"key"`
+	Digest     uint64       `cbor:"digest"`
+	Status     Status       `cbor:"status"`
+	Run        Ran          `cbor:"run"`
+	Reason     Reason       `cbor:"reason,omitempty"`
+	RetryAfter clock.Millis `cbor:"retry_after,omitempty"`
+	Results    [][]byte     `cbor:"results,omitempty"`
+	// Starts counts the starts of the job's tasks that the owner knows of.
+	Starts int `cbor:"starts,omitempty"`
+}
+
+// Cancel asks the owner of a job to end it.
+type Cancel struct {
+	Key shard.Key `cbor:"key"`
+}
+
+// Item is one task to be started; Index counts from 0 within the job and Attempt from 1.
+type Item struct {
+	Index   int    `cbor:"index"`
+	Attempt int    `cbor:"attempt"`
+	Payload []byte `cbor:"payload"`
+}
+
+// Start asks an agent to run tasks of one job under the owner's epoch; Budget is in milliseconds.
+type Start struct {
+	Shard      int          `cbor:"shard"`
+	Epoch      uint64       `cbor:"epoch"`
+	Key        shard.Key    `cbor:"key"`
+	Job        string       `cbor:"job"`
+	Tenant     string       `cbor:"tenant"`
+	Kind       string       `cbor:"kind,omitempty"`
+	Digest     uint64       `cbor:"digest"`
+	Urgent     bool         `cbor:"urgent,omitempty"`
+	Repeatable bool         `cbor:"repeatable,omitempty"`
+	Budget     clock.Millis `cbor:"budget"`
+	Items      []Item       `cbor:"items"`
+}
+
+// State is what an agent knows of a task.
+type State int
+
+// The states of a task at an agent; StateRefused means it was not started and never will be for that attempt.
+const (
+	StateQueued State = iota + 1
+	StateRunning
+	StateDone
+	StateFailed
+	StateRefused
+)
+
+// Outcome is the state of one task; Refusal is set when it was refused, RunTime is in milliseconds.
+type Outcome struct {
+	Index   int          `cbor:"index"`
+	Attempt int          `cbor:"attempt"`
+	State   State        `cbor:"state"`
+	Refusal Reason       `cbor:"refusal,omitempty"`
+	RunTime clock.Millis `cbor:"run_time,omitempty"`
+	Output  []byte       `cbor:"output,omitempty"`
+	// Dropped says that the task is done but its output is no longer kept.
+	Dropped bool `cbor:"dropped,omitempty"`
+}
+
+// Result reports finished or refused tasks of one job to the owner of its shard.
+type Result struct {
+	Shard    int       `cbor:"shard"`
+	Key      shard.Key `cbor:"key"`
+	Digest   uint64    `cbor:"digest"`
+	Outcomes []Outcome `cbor:"outcomes"`
+	Load     Load      `cbor:"load"`
+}
+
+// Ack tells an agent that the owner holds the outcomes of these tasks.
+type Ack struct {
+	Key     shard.Key `cbor:"key"`
+	Indexes []int     `cbor:"indexes"`
+}
+
+// Revoke tells an agent that a job is over: queued tasks are not started, running ones are stopped.
+type Revoke struct {
+	Key shard.Key `cbor:"key"`
+}
+
+// ShardEpoch names a shard and an epoch of it.
+type ShardEpoch struct {
+	Shard int    `cbor:"shard"`
+	Epoch uint64 `cbor:"epoch"`
+}
+
+// Fence tells an agent that the sender owns shards from the given epochs on and asks for its records of them.
+type Fence struct {
+	Map    *shard.Map   `cbor:"map"`
+	Shards []ShardEpoch `cbor:"shards"`
+}
+
+// Record is what an agent holds about the tasks of one job.
+type Record struct {
+	Key      shard.Key `cbor:"key"`
+	Digest   uint64    `cbor:"digest"`
+	Outcomes []Outcome `cbor:"outcomes"`
+}
+
+// Fenced confirms a Fence for one shard: no start under an older epoch happens after it.
+type Fenced struct {
+	Shard   int      `cbor:"shard"`
+	Epoch   uint64   `cbor:"epoch"`
+	Records []Record `cbor:"records,omitempty"`
+}
+
+// TaskMemory is what an owner knows of one task.
+type TaskMemory struct {
+	Agent   shard.ID `cbor:"agent,omitempty"`
+	Attempt int      `cbor:"attempt,omitempty"`
+	State   State    `cbor:"state,omitempty"`
+	Output  []byte   `cbor:"output,omitempty"`
+}
+
+// JobMemory is what an owner knows of one job; Age is the time since it was last asked for, in milliseconds.
+type JobMemory struct {
+	Key    shard.Key    `cbor:"key"`
+	Digest uint64       `cbor:"digest"`
+	Age    clock.Millis `cbor:"age"`
+	Tasks  []TaskMemory `cbor:"tasks"`
+	Answer *Answer      `cbor:"answer,omitempty"`
+}
+
+// Handover gives the memory of one shard to its new owner.
+type Handover struct {
+	Shard int    `cbor:"shard"`
+	Epoch uint64 `cbor:"epoch"`
+	// Complete says that the sender knew of every start of the shard within the retention time.
+	Complete bool        `cbor:"complete"`
+	Jobs     []JobMemory `cbor:"jobs,omitempty"`
+}
+
+// Handovers asks the former owner of shards for their memory.
+type Handovers struct {
+	Map    *shard.Map   `cbor:"map"`
+	Shards []ShardEpoch `cbor:"shards"`
+}
+
+// Check asks an agent whether the sender's epochs are still the newest that it has seen.
+type Check struct {
+	Nonce  uint64       `cbor:"nonce"`
+	Shards []ShardEpoch `cbor:"shards"`
+}
+
+// Checked answers a Check; Valid lists the shards of which the agent, being current, has seen no newer epoch.
+type Checked struct {
+	Nonce uint64 `cbor:"nonce"`
+	Valid []int  `cbor:"valid,omitempty"`
+}
+
+// Name returns the name of the field that a message carries.
+func (m *Message) Name() string {
+	switch {
+	case m.Hello != nil:
+		return "hello"
+	case m.Ping != nil:
+		return "ping"
+	case m.Pong != nil:
+		return "pong"
+	case m.Beat != nil:
+		return "beat"
+	case m.Join != nil:
+		return "join"
+	case m.Forward != nil:
+		return "forward"
+	case m.Answer != nil:
+		return "answer"
+	case m.Cancel != nil:
+		return "cancel"
+	case m.Start != nil:
+		return "start"
+	case m.Result != nil:
+		return "result"
+	case m.Ack != nil:
+		return "ack"
+	case m.Revoke != nil:
+		return "revoke"
+	}
+	return m.takeoverName()
+}
+
+func (m *Message) takeoverName() string {
+	switch {
+	case m.Fence != nil:
+		return "fence"
+	case m.Fenced != nil:
+		return "fenced"
+	case m.Handover != nil:
+		return "handover"
+	case m.Handovers != nil:
+		return "handovers"
+	case m.Check != nil:
+		return "check"
+	case m.Checked != nil:
+		return "checked"
+	}
+	return "empty"
+}
+
+// IsWork reports whether a message exists only because of a job.
+func (m *Message) IsWork() bool {
+	return m.Forward != nil || m.Answer != nil || m.Start != nil || m.Result != nil || m.Revoke != nil ||
+		m.Cancel != nil || m.Check != nil || m.Checked != nil
+}
--- /dev/null
+++ b/internal/queue/doc.go
@@ -0,0 +1,2 @@
+// Package queue provides a bounded queue with two classes that is fair between tenants.
+package queue
--- /dev/null
+++ b/pkg/client/doc.go
@@ -0,0 +1,2 @@
+// Package client is a client of the callers' and the operators' HTTP interfaces.
+package client
