--- a/internal/entry/admission_controller.go
+++ b/internal/entry/admission_controller.go
@@ -11,6 +11,8 @@
 	shortestRetry = 100 * clock.Millis(1)
 	longestRetry  = 10 * clock.Second
 	maxBuckets    = 4096
+	// acquaintance is the time after its start in which an entry may not know all agents yet, in milliseconds.
+	acquaintance = 5 * clock.Second
 )
 
 type bucket struct {
@@ -26,11 +28,12 @@
 	agents   *AgentController
 	dispatch *DispatchController
 	buckets  map[string]*bucket
+	started  clock.Millis
 }
 
 // NewAdmissionController creates a controller with full quotas.
 func NewAdmissionController(c *common, maps *MapController, config *ConfigController, agents *AgentController) *AdmissionController {
-	return &AdmissionController{common: c, maps: maps, config: config, agents: agents, buckets: map[string]*bucket{}}
+	return &AdmissionController{common: c, maps: maps, config: config, agents: agents, buckets: map[string]*bucket{}, started: c.now}
 }
 
 // Refusal returns why a job is not taken and when to try again, or the empty reason.
@@ -38,7 +41,7 @@
 	if d.Denied {
 		return proto.ReasonDenied, 0
 	}
-	if len(c.agents.Eligible(d.Rule, d.Worker)) == 0 {
+	if len(c.agents.Eligible(d.Rule, d.Worker)) == 0 && c.now-c.started >= acquaintance {
 		return proto.ReasonNoWorker, longestRetry
 	}
 	if c.cfg.Baseline {
--- a/internal/entry/job_controller.go
+++ b/internal/entry/job_controller.go
@@ -70,15 +70,16 @@
 	}
 }
 
-// revivable reports whether a job may be tried afresh because it was refused and never ran.
+// revivable reports whether a job that was answered may be tried afresh because it never ran.
 func revivable(a *proto.Answer) bool {
-	return a.Status == proto.StatusRefused && a.Run == proto.RanNo
+	return a.Run == proto.RanNo && a.Reason != proto.ReasonCancelled
 }
 
 func (c *JobController) redeliver(j *job, to shard.ID) {
 	c.touch(j)
 	c.emit(event.Note{Name: "answer_repeated", Job: j.id(), Reason: string(j.answer.Status)})
-	c.deliver(to, j.answer)
+	again := *j.answer
+	c.verdict(to, &again)
 }
 
 func (c *JobController) unknown(from shard.ID, f *proto.Forward, j *job) {
@@ -177,7 +178,7 @@
 		return
 	}
 	for i := range j.tasks {
-		if s := j.tasks[i].state; s == taskPending || s == taskFailed {
+		if s := j.tasks[i].state; s == taskPending || s == taskQueued || s == taskFailed {
 			c.dispatch.Queue(j, i)
 		}
 	}
@@ -196,7 +197,7 @@
 	if s == nil {
 		return
 	}
-	c.take(s, from, r.Key, r.Digest, r.Outcomes)
+	c.take(s, from, r.Key, r.Digest, r.Outcomes, false)
 }
 
 // Records takes what an agent holds of a shard and requeues what it was sent and never got.
@@ -204,7 +205,7 @@
 	held := make(map[shard.Key][]proto.Outcome, len(records))
 	for _, r := range records {
 		held[r.Key] = r.Outcomes
-		c.take(s, from, r.Key, r.Digest, r.Outcomes)
+		c.take(s, from, r.Key, r.Digest, r.Outcomes, true)
 	}
 	for _, j := range slices.Clone(c.live) {
 		if j.shard == s.number && j.live() {
@@ -224,7 +225,8 @@
 	}
 }
 
-func (c *JobController) take(s *shardState, from shard.ID, key shard.Key, digest uint64, outcomes []proto.Outcome) {
+// take applies outcomes of one job, from a result or from an answer to a fence, and acknowledges the final ones.
+func (c *JobController) take(s *shardState, from shard.ID, key shard.Key, digest uint64, outcomes []proto.Outcome, fence bool) {
 	j := c.jobs[key]
 	if j == nil {
 		j = c.add(key, s.number, digest)
@@ -232,7 +234,9 @@
 	ack := &proto.Ack{Key: key}
 	for i := range outcomes {
 		o := &outcomes[i]
-		c.apply(j, from, o)
+		if !c.apply(j, from, o) && !fence {
+			c.emit(event.Note{Name: "message_wasted", Reason: "doubled", Quiet: true})
+		}
 		if o.State >= proto.StateDone {
 			ack.Indexes = append(ack.Indexes, o.Index)
 		}
@@ -242,12 +246,11 @@
 	}
 }
 
-// apply brings what is known of a task up to date with one outcome.
-func (c *JobController) apply(j *job, from shard.ID, o *proto.Outcome) {
+// apply brings what is known of a task up to date with one outcome and reports whether it told anything new.
+func (c *JobController) apply(j *job, from shard.ID, o *proto.Outcome) bool {
 	t := j.task(o.Index)
 	if t == nil || t.state == taskDone {
-		c.emit(event.Note{Name: "message_wasted", Reason: "doubled", Quiet: true})
-		return
+		return false
 	}
 	expected := t.state == taskSent && base(t.agent) == base(from)
 	if expected && o.State >= proto.StateDone {
@@ -255,10 +258,10 @@
 	}
 	if o.State == proto.StateRefused {
 		c.applyRefusal(j, t, o, expected)
-		return
+		return true
 	}
 	if t.state == taskSent && !expected && o.State != proto.StateDone {
-		return
+		return false
 	}
 	t.attempt = max(t.attempt, o.Attempt)
 	t.agent = from
@@ -267,7 +270,7 @@
 	t.output = o.Output
 	t.dropped = o.Dropped
 	if !j.live() {
-		return
+		return true
 	}
 	switch t.state {
 	case taskDone:
@@ -275,6 +278,7 @@
 	case taskFailed:
 		c.taskFailed(j, o.Index, t)
 	}
+	return true
 }
 
 func (c *JobController) applyRefusal(j *job, t *task, o *proto.Outcome, expected bool) {
@@ -405,7 +409,7 @@
 	switch {
 	case j != nil && (j.live() || j.ending) && j.digest == a.Digest:
 		j.wait(to)
-	case j != nil && j.answer != nil && j.digest == a.Digest:
+	case j != nil && j.answer != nil && j.answer.Run != proto.RanNo && j.digest == a.Digest:
 		c.deliver(to, j.answer)
 	default:
 		c.deliver(to, a)
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -102,3 +102,8 @@
 func (m *Machine) Config() *policy.Document {
 	return m.config.policy.Document
 }
+
+// Map returns the map that the entry holds, or nil; it must not be changed.
+func (m *Machine) Map() *shard.Map {
+	return m.maps.m
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -151,6 +151,7 @@
 func (m *Mesh) dial(ctx context.Context, member shard.Member) error {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	//nolint:bodyclose // the library closes the body of the response itself
 	conn, _, err := websocket.Dial(dialCtx, "ws://"+member.Addr+Path, &websocket.DialOptions{
 		CompressionMode: websocket.CompressionDisabled,
 	})
