--- a/internal/agent/record_controller.go
+++ b/internal/agent/record_controller.go
@@ -96,17 +96,18 @@
 	}
 	c.unacked[r.key] = struct{}{}
 	if c.cfg.HoldResults == 0 || r.active == 0 || o.State != proto.StateDone {
-		c.flush(r)
+		c.flush(r, false)
 	}
 }
 
-func (c *RecordController) flush(r *jobRecord) {
+// flush sends the outcomes that were held back and, if all is set, also those that were sent and not acknowledged.
+func (c *RecordController) flush(r *jobRecord, all bool) {
 	r.heldAt = 0
 	r.sentAt = c.now
 	result := &proto.Result{Shard: r.shard, Key: r.key, Digest: r.digest, Load: c.load()}
 	for i := range r.tasks {
 		t := &r.tasks[i]
-		if !t.acked && final(t.outcome.State) {
+		if !t.acked && final(t.outcome.State) && (all || t.held) {
 			t.held = false
 			result.Outcomes = append(result.Outcomes, t.outcome)
 		}
@@ -123,7 +124,7 @@
 	}
 	if r.unsettled() {
 		c.unacked[r.key] = struct{}{}
-		c.flush(r)
+		c.flush(r, true)
 	}
 }
 
@@ -155,7 +156,7 @@
 func (c *RecordController) Resend(owner shard.ID) {
 	for _, r := range c.unackedJobs() {
 		if c.lease.OwnerOf(r.shard) == owner && r.heldAt == 0 {
-			c.flush(r)
+			c.flush(r, true)
 		}
 	}
 }
@@ -201,7 +202,7 @@
 		held := r.heldAt != 0 && c.now-r.heldAt >= c.cfg.HoldResults
 		lost := r.heldAt == 0 && c.now-r.sentAt >= resendAfter
 		if held || lost {
-			c.flush(r)
+			c.flush(r, lost)
 		}
 	}
 	c.dropOutputs()
--- a/internal/entry/job_controller.go
+++ b/internal/entry/job_controller.go
@@ -168,7 +168,7 @@
 		case t.state == taskFailed && !c.mayRepeat(j, t):
 			c.fail(j, proto.ReasonTaskFailed)
 			return
-		case t.state == taskPending && !state.clean && !j.decision.Repeatable:
+		case t.state != taskSent && !state.clean && !c.reserve(j, t, state):
 			c.failAs(j, proto.ReasonUncertain, proto.RanUnknown)
 			return
 		}
@@ -184,8 +184,19 @@
 	}
 }
 
+// mayRepeat reports whether a task may be started again; the last attempt is kept for when records were lost.
 func (c *JobController) mayRepeat(j *job, t *task) bool {
-	return j.decision.Repeatable && t.attempt < j.decision.MaxAttempts
+	return j.decision.Repeatable && t.attempt < j.decision.MaxAttempts-1
+}
+
+// reserve gives a task the attempt that is kept for when records were lost, and reports whether there is one: a former
+// owner that knew all starts has left it, but two in a row that did not may both have used it.
+func (c *JobController) reserve(j *job, t *task, state *shardState) bool {
+	if !j.decision.Repeatable || j.decision.MaxAttempts < 2 || state.moves > 1 {
+		return false
+	}
+	t.attempt = max(t.attempt, j.decision.MaxAttempts-1)
+	return true
 }
 
 // Result takes outcomes from an agent and acknowledges them.
@@ -457,14 +468,16 @@
 	}
 }
 
-// Resend repeats the starts that an agent has not answered, after its session was opened anew.
+// Resend repeats the starts that an agent has not answered, after its session was opened anew; what a former owner sent
+// is left to the fence, which tells whether it arrived.
 func (c *JobController) Resend(id shard.ID) {
 	for _, j := range c.live {
 		if !j.live() || c.shards.Owned(j.shard) == nil {
 			continue
 		}
 		for i := range j.tasks {
-			if j.tasks[i].state == taskSent && j.tasks[i].agent == id {
+			t := &j.tasks[i]
+			if t.state == taskSent && t.agent == id && !t.imported {
 				c.dispatch.Repeat(j, i)
 			}
 		}
--- a/internal/entry/machine.go
+++ b/internal/entry/machine.go
@@ -59,6 +59,7 @@
 	m.maps.beat = m.config.Complete
 	m.maps.onConfig = m.config.Row
 	m.maps.onMap = m.mapAdopted
+	m.maps.settled = m.shards.Settled
 	m.config.onPolicy = m.policyAdopted
 	m.agents.onLost = m.jobs.AgentLost
 	m.agents.onRenamed = m.jobs.AgentRenamed
--- a/internal/entry/map_controller.go
+++ b/internal/entry/map_controller.go
@@ -61,6 +61,8 @@
 	onMap func(before *shard.Map)
 	// onConfig is called with each row of the configuration that was read.
 	onConfig func(row table.Row)
+	// settled lists the shards of this entry for which no start can be unknown any more.
+	settled func() []int
 	// beat completes a heartbeat with the configuration's version and document.
 	beat func(p *peer, b *proto.Beat)
 }
@@ -348,8 +350,9 @@
 			c.peer(member.ID).heard = c.now
 		}
 	}
-	c.onMap(before)
+	// Others learn of the map before they are sent anything that follows from it.
 	c.BeatAll()
+	c.onMap(before)
 }
 
 func (c *MapController) noteLosses() {
@@ -378,6 +381,10 @@
 	changed := c.changeSelf(next)
 	changed = c.changeMembers(next) || changed
 	changed = c.changeAgents(next) || changed
+	for _, n := range c.settled() {
+		next.Shards[n].Moves = 0
+		changed = true
+	}
 	if changed {
 		next.Balance()
 		c.pending = next
@@ -475,7 +482,9 @@
 	next.Cold = true
 	next.Members = []shard.Member{c.self()}
 	for i := range next.Shards {
-		next.Shards[i] = shard.Owner{ID: c.cfg.ID, Epoch: next.Shards[i].Epoch + 1}
+		next.Shards[i] = shard.Owner{
+			ID: c.cfg.ID, Epoch: next.Shards[i].Epoch + 1, Moves: next.Shards[i].Moves + 1,
+		}
 	}
 	c.pending = next
 	c.emit(event.Note{Name: "cold_start", Version: next.Version})
--- a/internal/entry/shard_controller.go
+++ b/internal/entry/shard_controller.go
@@ -43,7 +43,9 @@
 	clean bool
 	// inherited says that the memory of the former owner was received and complete.
 	inherited bool
-	cleanAt   clock.Millis
+	// moves is how often starts may have become unknown to the owners since they were all known.
+	moves   int
+	cleanAt clock.Millis
 }
 
 func newShardState(number int) *shardState {
@@ -111,6 +113,17 @@
 	return n
 }
 
+// Settled returns the shards that this entry has owned for so long that no start by a former owner matters any more.
+func (c *ShardController) Settled() []int {
+	var settled []int
+	for i, o := range c.maps.m.Shards {
+		if s := c.Owned(i); s != nil && o.ID == c.cfg.ID && o.Moves > 0 && c.now > s.cleanAt {
+			settled = append(settled, i)
+		}
+	}
+	return settled
+}
+
 // MapChanged takes over and gives up shards by the map just adopted.
 func (c *ShardController) MapChanged(before *shard.Map) {
 	m := c.maps.m
@@ -132,6 +145,7 @@
 
 func (c *ShardController) assign(s *shardState, o shard.Owner, before *shard.Map) {
 	if s.epoch == o.Epoch && c.Held(s.number) != nil {
+		s.moves = min(s.moves, o.Moves)
 		if c.maps.m.Member(s.previous) == nil {
 			s.previous = ""
 		}
@@ -144,6 +158,7 @@
 	s.need = nil
 	s.previous = o.Previous
 	s.inherited = false
+	s.moves = o.Moves
 	s.clean = false
 	s.cleanAt = never
 	if o.Epoch == 1 && before == nil && c.maps.m.Version == 1 && c.maps.m.Writer == c.cfg.ID {
@@ -166,7 +181,7 @@
 
 func (c *ShardController) handOver(s *shardState, to shard.ID, epoch uint64) {
 	c.send(to, proto.Message{Handover: &proto.Handover{
-		Shard: s.number, Epoch: epoch, Complete: s.clean, Jobs: c.jobs.Export(s.number),
+		Shard: s.number, Epoch: epoch, Complete: s.clean, Moves: s.moves, Jobs: c.jobs.Export(s.number),
 	}})
 }
 
@@ -196,6 +211,7 @@
 	}
 	s.previous = ""
 	s.inherited = h.Complete
+	s.moves = min(s.moves, h.Moves)
 	c.jobs.Import(h.Jobs)
 	c.work()
 }
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -81,7 +81,7 @@
 	ratioScale = 1000
 	digits     = 3
 	// maxRepeats is the number of starts that the configurations of the demo allow for a repeatable task.
-	maxRepeats = 2
+	maxRepeats = 3
 )
 
 func newReport(cfg Config, rate float64) *Report {
--- a/internal/policy/document.go
+++ b/internal/policy/document.go
@@ -41,7 +41,8 @@
 	Urgent bool `json:"urgent,omitempty" cbor:"urgent,omitempty"`
 	// Repeatable tasks may be started again, up to MaxAttempts starts in all.
 	Repeatable bool `json:"repeatable,omitempty" cbor:"repeatable,omitempty"`
-	// MaxAttempts bounds the starts of one repeatable task; zero means 1.
+	// MaxAttempts bounds the starts of one repeatable task; zero means 1. The last one is kept for when an entry and an
+	// agent were lost together, so that a failed task is tried again only if it is at least 3.
 	MaxAttempts int `json:"max_attempts,omitempty" cbor:"max_attempts,omitempty"`
 	// Deny refuses the requests.
 	Deny bool `json:"deny,omitempty" cbor:"deny,omitempty"`
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -283,8 +283,10 @@
 	Shard int    `cbor:"shard"`
 	Epoch uint64 `cbor:"epoch"`
 	// Complete says that the sender knew of every start of the shard within the retention time.
-	Complete bool        `cbor:"complete"`
-	Jobs     []JobMemory `cbor:"jobs,omitempty"`
+	Complete bool `cbor:"complete"`
+	// Moves is how often, as far as the sender knew, starts may have become unknown.
+	Moves int         `cbor:"moves,omitempty"`
+	Jobs  []JobMemory `cbor:"jobs,omitempty"`
 }
 
 // Handovers asks the former owner of shards for their memory.
--- a/internal/shard/map.go
+++ b/internal/shard/map.go
@@ -44,6 +44,8 @@
 	ID       ID     `cbor:"id" json:"id"`
 	Epoch    uint64 `cbor:"epoch" json:"epoch"`
 	Previous ID     `cbor:"previous,omitempty" json:"previous,omitempty"`
+	// Moves counts the changes of owner since the last time at which no start could be unknown.
+	Moves int `cbor:"moves,omitempty" json:"moves,omitempty"`
 }
 
 // Loss marks one incarnation of an agent whose records of started tasks may be gone.
@@ -198,6 +200,7 @@
 	o := &m.Shards[i]
 	from := o.ID
 	o.Epoch++
+	o.Moves++
 	o.ID = to
 	o.Previous = ""
 	if m.Member(from) != nil {
