Keep a share of all slots free for urgent tasks instead of one slot at each agent

Change: normal tasks are sent only while more slots are free in all than 5%, by the entry's estimate; agents reserve none.

--- a/internal/agent/common.go
+++ b/internal/agent/common.go
@@ -22,8 +22,6 @@
 	PingEvery clock.Millis
 	// QueueLimit is the greatest number of tasks that wait for a slot.
 	QueueLimit int
-	// UrgentSlots is the number of slots that only urgent tasks may use.
-	UrgentSlots int
 	// HoldResults is the longest time that a result waits for others of its job, in milliseconds.
 	HoldResults clock.Millis
 	// KeepBytes bounds the outputs kept after the owner has acknowledged them.
--- a/internal/agent/run_controller.go
+++ b/internal/agent/run_controller.go
@@ -27,12 +27,12 @@
 	lease   *LeaseController
 	records *RecordController
 
-	queue         queue.Fair[*waiting]
-	queued        map[shard.Key][]*waiting
-	length        int
-	running       int
-	runningNormal int
-	started       map[runKey]*runInfo
+	queue   queue.Fair[*waiting]
+	queued  map[shard.Key][]*waiting
+	length  int
+	urgent  int
+	running int
+	started map[runKey]clock.Millis
 
 	announced bool
 	slots     int
@@ -54,16 +54,11 @@
 	index int
 }
 
-type runInfo struct {
-	urgent bool
-	since  clock.Millis
-}
-
 // NewRunController creates a controller that waits for the backend server to announce itself.
 func NewRunController(c *common, lease *LeaseController, records *RecordController) *RunController {
 	r := &RunController{
 		common: c, lease: lease, records: records,
-		queued: map[shard.Key][]*waiting{}, started: map[runKey]*runInfo{}, pause: c.cfg.EjectFor,
+		queued: map[shard.Key][]*waiting{}, started: map[runKey]clock.Millis{}, pause: c.cfg.EjectFor,
 	}
 	records.load = r.Load
 	return r
@@ -76,7 +71,7 @@
 		slots = 0
 	}
 	return proto.Load{
-		Slots: slots, Running: c.running, Queued: c.length,
+		Slots: slots, Running: c.running, Queued: c.length, UrgentQueued: c.urgent,
 		Leaving: c.leaving || c.stopping, Ejected: c.ejected, Trial: c.trial,
 	}
 }
@@ -155,7 +150,7 @@
 		return
 	}
 	r.active++
-	c.length++
+	c.count(s.Urgent, 1)
 	w := &waiting{
 		key: s.Key, job: s.Job, tenant: s.Tenant, item: item, urgent: s.Urgent, repeatable: s.Repeatable,
 		epoch: s.Epoch, accepted: c.now, deadline: c.now + s.Budget,
@@ -164,6 +159,13 @@
 	c.queued[s.Key] = append(c.queued[s.Key], w)
 }
 
+func (c *RunController) count(urgent bool, n int) {
+	c.length += n
+	if urgent {
+		c.urgent += n
+	}
+}
+
 func (c *RunController) busy(urgent bool) proto.Reason {
 	switch {
 	case c.leaving || c.stopping:
@@ -191,8 +193,7 @@
 // Pump starts queued tasks while slots are free.
 func (c *RunController) Pump() {
 	for c.canStart() {
-		normalAllowed := c.runningNormal < max(1, c.slots-c.cfg.UrgentSlots)
-		w, ok := c.queue.Next(normalAllowed)
+		w, ok := c.queue.Next()
 		if !ok {
 			return
 		}
@@ -228,10 +229,7 @@
 	r.touched = c.now
 	t.outcome.State = proto.StateRunning
 	c.running++
-	if !w.urgent {
-		c.runningNormal++
-	}
-	c.started[runKey{w.key, w.item.Index}] = &runInfo{urgent: w.urgent, since: c.now}
+	c.started[runKey{w.key, w.item.Index}] = c.now
 	c.emit(event.Note{
 		Name: "task_started", Job: w.job, Tenant: w.tenant, Class: className(w.urgent), Took: c.now - w.accepted, Quiet: true,
 	})
@@ -244,7 +242,7 @@
 // unqueue removes a task from the bookkeeping of the queue.
 func (c *RunController) unqueue(w *waiting) {
 	w.cancelled = true
-	c.length--
+	c.count(w.urgent, -1)
 	c.records.jobs[w.key].active--
 	list := c.queued[w.key]
 	for i := range list {
@@ -263,20 +261,17 @@
 // Done takes the end of a run and reports whether the agent's readiness for tasks changed.
 func (c *RunController) Done(e RunDone) bool {
 	key := runKey{e.Key, e.Index}
-	info := c.started[key]
+	since, running := c.started[key]
 	r := c.records.jobs[e.Key]
-	if info == nil || r == nil {
+	if !running || r == nil {
 		return false
 	}
 	delete(c.started, key)
 	c.running--
-	if !info.urgent {
-		c.runningNormal--
-	}
 	r.active--
 	t := r.task(e.Index)
 	o := t.outcome
-	o.RunTime = c.now - info.since
+	o.RunTime = c.now - since
 	o.Output = e.Output
 	o.State = stateOf(e.Verdict)
 	if o.State == proto.StateRefused {
@@ -321,7 +316,7 @@
 
 func (c *RunController) refuseQueued(reason proto.Reason) {
 	for {
-		w, ok := c.queue.Next(true)
+		w, ok := c.queue.Next()
 		if !ok {
 			return
 		}
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -57,8 +57,8 @@
 	BatchMS clock.Millis `json:"batch_ms" validate:"min=0,max=1000"`
 	// MaxQueued bounds the tasks that wait at this entry.
 	MaxQueued int `json:"max_queued" validate:"min=1,max=1000000"`
-	// UrgentSlots is the number of slots at each agent that only urgent tasks may use.
-	UrgentSlots int `json:"urgent_slots" validate:"min=0,max=1000"`
+	// UrgentReserve is the share of all slots that is kept free for urgent tasks.
+	UrgentReserve float64 `json:"urgent_reserve" validate:"min=0,max=0.9"`
 	// Baseline replaces the scheduling policy by random choice, one queue and no admission control, for comparisons.
 	Baseline bool `json:"baseline"`
 }
@@ -67,7 +67,7 @@
 func DefaultEntry() Entry {
 	return Entry{
 		Shards: 64, LeaseMS: 3000, MarginMS: 500, RetentionMS: 600_000, SuspectAfterMS: 2000, DrainLimitMS: 30_000,
-		MaxQueued: 20_000, UrgentSlots: 1,
+		MaxQueued: 20_000, UrgentReserve: 0.05,
 	}
 }
 
@@ -91,8 +91,6 @@
 	PingMS clock.Millis `json:"ping_ms" validate:"min=50,max=10000"`
 	// QueueLimit is the greatest number of tasks that wait for a slot; urgent tasks may use twice as many.
 	QueueLimit int `json:"queue_limit" validate:"min=1,max=100000"`
-	// UrgentSlots is the number of slots that only urgent tasks may use.
-	UrgentSlots int `json:"urgent_slots" validate:"min=0,max=1000"`
 	// HoldResultsMS is the longest time that a result waits for others of its job, in milliseconds.
 	HoldResultsMS clock.Millis `json:"hold_results_ms" validate:"min=0,max=10000"`
 	// BatchMS is how long a frame to an entry waits for more messages, in milliseconds.
@@ -110,7 +108,7 @@
 // DefaultAgent returns the settings that an agent uses where its file says nothing.
 func DefaultAgent() Agent {
 	return Agent{
-		PingMS: 1000, QueueLimit: 16, UrgentSlots: 1, KeepBytes: 8 << 20, BackendTimeoutMS: 3000, EjectAfter: 2,
+		PingMS: 1000, QueueLimit: 16, KeepBytes: 8 << 20, BackendTimeoutMS: 3000, EjectAfter: 2,
 		DrainLimitMS: 30_000,
 	}
 }
--- a/internal/entry/agent_controller.go
+++ b/internal/entry/agent_controller.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"slices"
 	"strings"
 
@@ -20,6 +21,10 @@
 	firstRunTime = 300.0
 	// slowest bounds by how much a worker's slowness counts in the choice.
 	slowest = 20.0
+	// flightTime is the age from which on an agent's report includes a start, in milliseconds.
+	flightTime = 5 * clock.Millis(1)
+	// spareEvery is the time between new estimates of all free slots, in milliseconds.
+	spareEvery = 5 * clock.Millis(1)
 )
 
 type agentView struct {
@@ -33,11 +38,12 @@
 	connected bool
 	heard     clock.Millis
 	reported  clock.Millis
-	sent      int
-	inFlight  int
-	avoid     clock.Millis
-	slow      float64
-	lost      bool
+	// sent holds the times of the starts that the last report may not include.
+	sent     []clock.Millis
+	inFlight int
+	avoid    clock.Millis
+	slow     float64
+	lost     bool
 }
 
 // AgentController keeps what this entry knows of each agent and chooses the agent for each task.
@@ -50,6 +56,9 @@
 	eligible map[string][]*agentView
 	runTime  map[string]float64
 	meanRun  float64
+	// spareSlots is the last estimate of the free slots beyond the reserve, made at spareAt.
+	spareSlots float64
+	spareAt    clock.Millis
 	// onLost is called when tasks at an agent must be given up.
 	onLost func(id shard.ID)
 	// onRenamed is called when an agent goes on under a new identity.
@@ -61,6 +70,7 @@
 	return &AgentController{
 		common: c, maps: maps, config: config, byID: map[shard.ID]*agentView{},
 		eligible: map[string][]*agentView{}, runTime: map[string]float64{}, meanRun: firstRunTime,
+		spareAt: never,
 	}
 }
 
@@ -140,13 +150,14 @@
 	v.heard = c.now
 	v.reported = c.now
 	v.load = load
-	v.sent = 0
+	v.sent = slices.DeleteFunc(v.sent, func(at clock.Millis) bool { return c.now-at > flightTime })
 }
 
 // Sent counts a start that was sent to an agent.
 func (c *AgentController) Sent(v *agentView) {
-	v.sent++
+	v.sent = append(v.sent, c.now)
 	v.inFlight++
+	c.spareSlots--
 }
 
 // Ended counts the end of a task at an agent and learns from its run time.
@@ -156,6 +167,7 @@
 		return
 	}
 	v.inFlight = max(0, v.inFlight-1)
+	c.spareSlots++
 	switch o.State {
 	case proto.StateRefused:
 		v.avoid = c.now + avoidFor
@@ -258,7 +270,7 @@
 		if !c.hasRoom(v, urgent, repeatable) {
 			continue
 		}
-		score := c.score(v)
+		score := c.score(v, urgent)
 		if best == nil || score < bestScore {
 			best, bestScore = v, score
 		}
@@ -270,19 +282,18 @@
 	if !v.usable() || c.now < v.avoid {
 		return false
 	}
-	outstanding := c.outstanding(v)
 	if v.load.Trial {
-		return repeatable && outstanding < 1
+		return repeatable && v.inFlight == 0
 	}
 	if urgent {
-		return outstanding < float64(v.load.Slots+1)
+		return c.free(v, true) > -1
 	}
-	return outstanding < float64(max(1, v.load.Slots-c.cfg.UrgentSlots)+1)
+	return c.free(v, false) >= 1 && c.spare() >= 1
 }
 
 // score orders agents by the wait to expect at them; the entry's own availability zone breaks ties.
-func (c *AgentController) score(v *agentView) float64 {
-	free := float64(v.load.Slots) - c.outstanding(v)
+func (c *AgentController) score(v *agentView, urgent bool) float64 {
+	free := c.free(v, urgent)
 	score := v.slow
 	if free < 1 {
 		score += v.slow * (2 - free)
@@ -295,13 +306,33 @@
 	return score
 }
 
-// outstanding estimates the tasks at an agent: the last report, less what has ended since, plus what was sent since.
-func (c *AgentController) outstanding(v *agentView) float64 {
-	reported := float64(v.load.Running + v.load.Queued)
-	others := max(0, reported+float64(v.sent)-float64(v.inFlight))
+// free estimates the slots that a task of a class would find free at an agent: those of its last report, less what was
+// sent since, plus what has probably ended since.
+func (c *AgentController) free(v *agentView, urgent bool) float64 {
+	before := v.load.Running + v.load.Queued
+	if urgent {
+		before = v.load.Running + v.load.UrgentQueued
+	}
+	others := max(0, before+len(v.sent)-v.inFlight)
 	age := float64(c.now - v.reported)
-	ended := age / (c.meanRun * max(1, v.slow)) * min(others, float64(v.load.Slots))
-	return float64(v.inFlight) + max(0, others-ended)
+	ended := min(float64(others), age/(c.meanRun*max(1, v.slow))*float64(v.load.Running))
+	return float64(v.load.Slots-before-len(v.sent)) + ended
+}
+
+// spare returns the slots that are free beyond those kept for urgent tasks, as estimated a moment ago.
+func (c *AgentController) spare() float64 {
+	if c.now-c.spareAt >= spareEvery {
+		c.spareAt = c.now
+		total, free := 0, 0.0
+		for _, v := range c.views {
+			if v.usable() {
+				total += v.load.Slots
+				free += max(0, c.free(v, false))
+			}
+		}
+		c.spareSlots = free - math.Ceil(c.cfg.UrgentReserve*float64(total))
+	}
+	return c.spareSlots
 }
 
 func (c *AgentController) chooseRandom(list []*agentView) *agentView {
--- a/internal/entry/common.go
+++ b/internal/entry/common.go
@@ -38,8 +38,8 @@
 	DrainLimit clock.Millis
 	// MaxQueued bounds the tasks that wait at this entry.
 	MaxQueued int
-	// UrgentSlots is the number of slots at each agent that only urgent tasks may use.
-	UrgentSlots int
+	// UrgentReserve is the share of all slots that is kept free for urgent tasks.
+	UrgentReserve float64
 	// Baseline replaces the scheduling policy by random choice, one queue and no admission control.
 	Baseline bool
 	// Seed starts the random source of the scheduling policy.
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -88,7 +88,7 @@
 	c := clock.NewSystem()
 	machine := agent.New(agent.Config{
 		ID: id, Worker: cfg.Worker, Zone: cfg.AvailabilityZone, Labels: cfg.Labels, PingEvery: cfg.PingMS,
-		QueueLimit: cfg.QueueLimit, UrgentSlots: cfg.UrgentSlots, HoldResults: cfg.HoldResultsMS, KeepBytes: cfg.KeepBytes,
+		QueueLimit: cfg.QueueLimit, HoldResults: cfg.HoldResultsMS, KeepBytes: cfg.KeepBytes,
 		BackendTimeout: cfg.BackendTimeoutMS, EjectAfter: cfg.EjectAfter, EjectFor: 5 * clock.Second, EjectMax: 60 * clock.Second,
 		DrainLimit: cfg.DrainLimitMS,
 	}, c.Now())
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -46,11 +46,13 @@
 
 // Load tells how busy an agent is and whether it takes new tasks.
 type Load struct {
-	Slots   int  `cbor:"slots" json:"slots"`
-	Running int  `cbor:"running" json:"running"`
-	Queued  int  `cbor:"queued" json:"queued"`
-	Leaving bool `cbor:"leaving,omitempty" json:"leaving,omitempty"`
-	Ejected bool `cbor:"ejected,omitempty" json:"ejected,omitempty"`
+	Slots   int `cbor:"slots" json:"slots"`
+	Running int `cbor:"running" json:"running"`
+	Queued  int `cbor:"queued" json:"queued"`
+	// UrgentQueued is the part of Queued that goes before the rest.
+	UrgentQueued int  `cbor:"urgent_queued,omitempty" json:"urgent_queued,omitempty"`
+	Leaving      bool `cbor:"leaving,omitempty" json:"leaving,omitempty"`
+	Ejected      bool `cbor:"ejected,omitempty" json:"ejected,omitempty"`
 	// Trial says that the agent was ejected and now takes one task to prove itself.
 	Trial bool `cbor:"trial,omitempty" json:"trial,omitempty"`
 }
--- a/internal/queue/fair.go
+++ b/internal/queue/fair.go
@@ -63,11 +63,8 @@
 	return len(q.class(urgent).turn)
 }
 
-// Next removes and returns the next item, leaving out classes that are not allowed.
-func (q *Fair[T]) Next(normalAllowed bool) (item T, ok bool) {
-	if !normalAllowed {
-		return q.urgent.pop()
-	}
+// Next removes and returns the next item of both classes.
+func (q *Fair[T]) Next() (item T, ok bool) {
 	if q.normal.size == 0 {
 		q.streak = 0
 		return q.urgent.pop()
--- a/internal/trial/world_test.go
+++ b/internal/trial/world_test.go
@@ -159,21 +159,20 @@
 	p := w.newProc(name, proto.RoleEntry)
 	p.machine = entry.New(entry.Config{
 		ID: p.id, Addr: name, Zone: "a", Shards: 4, Terms: terms, BeatEvery: 500, SuspectAfter: 2000, PollEvery: 1000,
-		ColdStartAfter: 10_000, StrikeAfter: 8000, LostAfter: 4000, DrainLimit: 10_000, MaxQueued: 1000, UrgentSlots: 1, Seed: 1,
+		ColdStartAfter: 10_000, StrikeAfter: 8000, LostAfter: 4000, DrainLimit: 10_000, MaxQueued: 1000, UrgentReserve: 0.05, Seed: 1,
 	}, w.now)
 	p.scheduleTick()
 	return p
 }
 
-func (w *world) addAgent(name string, slots int) *proc {
+func (w *world) addAgent(name string, slots int) {
 	p := w.newProc(name, proto.RoleAgent)
 	p.machine = agent.New(agent.Config{
-		ID: p.id, Worker: name, Zone: "a", PingEvery: 1000, QueueLimit: 16, UrgentSlots: 1, KeepBytes: 1 << 20,
+		ID: p.id, Worker: name, Zone: "a", PingEvery: 1000, QueueLimit: 16, KeepBytes: 1 << 20,
 		BackendTimeout: 1 << 40, EjectAfter: 2, EjectFor: 5000, EjectMax: 60_000, DrainLimit: 10_000,
 	}, w.now)
 	p.scheduleTick()
 	p.handle(agent.BackendAnnounced{Slots: slots})
-	return p
 }
 
 func (p *proc) scheduleTick() {
