Let urgent tasks pass over agents without a free slot; estimate others' use by its mean

Cause: the three owners do not see each other's starts. Change: what others run drifts to the mean of all agents; an urgent start asks for a refusal if no slot is free, twice at most, then it waits at the agent chosen last; results that are held back are reported so that slots count as free.

--- a/internal/agent/record_controller.go
+++ b/internal/agent/record_controller.go
@@ -113,10 +113,31 @@
 		}
 	}
 	if owner := c.lease.OwnerOf(r.shard); owner != "" && len(result.Outcomes) > 0 {
+		result.Load.Held = c.heldFor(owner)
 		c.send(owner, proto.Message{Result: result})
 	}
 }
 
+// heldFor counts the outcomes that are held back from an owner.
+func (c *RecordController) heldFor(owner shard.ID) int {
+	if c.cfg.HoldResults == 0 {
+		return 0
+	}
+	n := 0
+	for key := range c.unacked {
+		r := c.jobs[key]
+		if r.heldAt == 0 || c.lease.OwnerOf(r.shard) != owner {
+			continue
+		}
+		for i := range r.tasks {
+			if r.tasks[i].held && final(r.tasks[i].outcome.State) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Repeat sends all final outcomes of a job again, also acknowledged ones.
 func (c *RecordController) Repeat(r *jobRecord) {
 	for i := range r.tasks {
--- a/internal/agent/run_controller.go
+++ b/internal/agent/run_controller.go
@@ -143,7 +143,7 @@
 	t.outcome = proto.Outcome{Index: item.Index, Attempt: item.Attempt, State: proto.StateQueued}
 	t.acked = false
 	if refusal == "" {
-		refusal = c.busy(s.Urgent)
+		refusal = c.busy(s)
 	}
 	if refusal != "" {
 		c.refuse(r, t, refusal)
@@ -166,7 +166,7 @@
 	}
 }
 
-func (c *RunController) busy(urgent bool) proto.Reason {
+func (c *RunController) busy(s *proto.Start) proto.Reason {
 	switch {
 	case c.leaving || c.stopping:
 		return proto.ReasonStopping
@@ -174,7 +174,9 @@
 		return proto.ReasonNoWorker
 	case c.trial && c.running+c.length > 0:
 		return proto.ReasonOverload
-	case !urgent && c.length >= c.cfg.QueueLimit:
+	case s.Now && c.running+c.urgent >= c.slots:
+		return proto.ReasonOverload
+	case !s.Urgent && c.length >= c.cfg.QueueLimit:
 		return proto.ReasonOverload
 	case c.length >= c.cfg.QueueLimit*2:
 		return proto.ReasonOverload
--- a/internal/entry/agent_controller.go
+++ b/internal/entry/agent_controller.go
@@ -56,6 +56,8 @@
 	eligible map[string][]*agentView
 	runTime  map[string]float64
 	meanRun  float64
+	// meanOthers is the mean share of an agent's slots that other entries use.
+	meanOthers float64
 	// spareSlots is the last estimate of the free slots beyond the reserve, made at spareAt.
 	spareSlots float64
 	spareAt    clock.Millis
@@ -151,6 +153,10 @@
 	v.reported = c.now
 	v.load = load
 	v.sent = slices.DeleteFunc(v.sent, func(at clock.Millis) bool { return c.now-at > flightTime })
+	if load.Slots > 0 {
+		others := max(0, float64(load.Running+load.Queued+load.Held+len(v.sent)-v.inFlight)) / float64(load.Slots)
+		c.meanOthers += learnWeight * (others - c.meanOthers)
+	}
 }
 
 // Sent counts a start that was sent to an agent.
@@ -170,6 +176,7 @@
 	c.spareSlots++
 	switch o.State {
 	case proto.StateRefused:
+		v.sent = v.sent[:max(0, len(v.sent)-1)]
 		v.avoid = c.now + avoidFor
 		if o.Refusal == proto.ReasonStale {
 			v.avoid = c.now + avoidFor*10
@@ -306,17 +313,18 @@
 	return score
 }
 
-// free estimates the slots that a task of a class would find free at an agent: those of its last report, less what was
-// sent since, plus what has probably ended since.
+// free estimates the slots that a task of a class would find free at an agent. What this entry has sent is known; what
+// others have sent drifts from the last report to the mean of all agents, as fast as tasks end and begin.
 func (c *AgentController) free(v *agentView, urgent bool) float64 {
 	before := v.load.Running + v.load.Queued
 	if urgent {
 		before = v.load.Running + v.load.UrgentQueued
 	}
-	others := max(0, before+len(v.sent)-v.inFlight)
-	age := float64(c.now - v.reported)
-	ended := min(float64(others), age/(c.meanRun*max(1, v.slow))*float64(v.load.Running))
-	return float64(v.load.Slots-before-len(v.sent)) + ended
+	mine := float64(max(0, v.inFlight-v.load.Held))
+	others := max(0, float64(before+len(v.sent))-mine)
+	kept := math.Exp(-float64(c.now-v.reported) / (c.meanRun * max(1, v.slow)))
+	mean := c.meanOthers * float64(v.load.Slots)
+	return float64(v.load.Slots) - mine - mean - (others-mean)*kept
 }
 
 // spare returns the slots that are free beyond those kept for urgent tasks, as estimated a moment ago.
--- a/internal/entry/dispatch_controller.go
+++ b/internal/entry/dispatch_controller.go
@@ -18,9 +18,13 @@
 	index int
 }
 
+// mostPassed is the number of agents that an urgent task may find without a free slot before it waits at one.
+const mostPassed = 2
+
 type startKey struct {
 	key   shard.Key
 	agent shard.ID
+	now   bool
 }
 
 // DispatchController holds tasks until an agent has room for them and sends the starts.
@@ -121,6 +125,7 @@
 	t.agent = v.id
 	t.imported = false
 	t.attempt++
+	t.tries++
 	w.job.starts++
 	c.agents.Sent(v)
 	c.retries = min(retryMost, c.retries+retryShare)
@@ -146,13 +151,13 @@
 // add puts a start into the message for its job and agent.
 func (c *DispatchController) add(j *job, index int) {
 	t := &j.tasks[index]
-	key := startKey{j.key, t.agent}
+	key := startKey{j.key, t.agent, j.decision.Urgent && !c.cfg.Baseline && t.passed < mostPassed}
 	s := c.batch[key]
 	if s == nil {
 		s = &proto.Start{
 			Shard: j.shard, Epoch: c.shards.shards[j.shard].epoch, Key: j.key, Job: j.id(), Tenant: j.tenant(),
 			Kind: j.kind(), Digest: j.digest, Urgent: j.decision.Urgent, Repeatable: j.decision.Repeatable,
-			Budget: j.deadline - c.now,
+			Now: key.now, Budget: j.deadline - c.now,
 		}
 		c.batch[key] = s
 		c.order = append(c.order, key)
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -21,6 +21,10 @@
 	state   taskState
 	agent   shard.ID
 	attempt int
+	// tries counts the attempts that may have started.
+	tries int
+	// passed counts agents that had no free slot for an urgent task.
+	passed  int
 	output  []byte
 	dropped bool
 	// imported tasks were sent by a former owner, and may never have arrived.
--- a/internal/entry/job_controller.go
+++ b/internal/entry/job_controller.go
@@ -186,7 +186,7 @@
 
 // mayRepeat reports whether a task may be started again; the last attempt is kept for when records were lost.
 func (c *JobController) mayRepeat(j *job, t *task) bool {
-	return j.decision.Repeatable && t.attempt < j.decision.MaxAttempts-1
+	return j.decision.Repeatable && t.tries < j.decision.MaxAttempts-1
 }
 
 // reserve gives a task the attempt that is kept for when records were lost, and reports whether there is one: a former
@@ -195,7 +195,7 @@
 	if !j.decision.Repeatable || j.decision.MaxAttempts < 2 || state.moves > 1 {
 		return false
 	}
-	t.attempt = max(t.attempt, j.decision.MaxAttempts-1)
+	t.tries = max(t.tries, j.decision.MaxAttempts-1)
 	return true
 }
 
@@ -231,6 +231,7 @@
 		known := slices.ContainsFunc(held, func(o proto.Outcome) bool { return o.Index == i })
 		if t.state == taskSent && t.imported && base(t.agent) == base(from) && !known {
 			t.state = taskPending
+			t.tries--
 			c.dispatch.Queue(j, i)
 		}
 	}
@@ -275,6 +276,9 @@
 		return false
 	}
 	t.attempt = max(t.attempt, o.Attempt)
+	if !expected {
+		t.tries = max(t.tries, o.Attempt)
+	}
 	t.agent = from
 	t.imported = false
 	t.state = remember(o)
@@ -298,6 +302,8 @@
 		return
 	}
 	t.attempt = o.Attempt
+	t.tries--
+	t.passed++
 	t.state = taskPending
 	c.emit(event.Note{Name: "message_wasted", Reason: string(o.Refusal), Quiet: true})
 	if j.live() {
@@ -597,6 +603,7 @@
 			}
 			t.agent = m.Agent
 			t.attempt = max(t.attempt, m.Attempt)
+			t.tries = max(t.tries, m.Attempt)
 			t.output = m.Output
 			if m.State != 0 {
 				t.state = remember(&proto.Outcome{State: m.State})
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -50,9 +50,11 @@
 	Running int `cbor:"running" json:"running"`
 	Queued  int `cbor:"queued" json:"queued"`
 	// UrgentQueued is the part of Queued that goes before the rest.
-	UrgentQueued int  `cbor:"urgent_queued,omitempty" json:"urgent_queued,omitempty"`
-	Leaving      bool `cbor:"leaving,omitempty" json:"leaving,omitempty"`
-	Ejected      bool `cbor:"ejected,omitempty" json:"ejected,omitempty"`
+	UrgentQueued int `cbor:"urgent_queued,omitempty" json:"urgent_queued,omitempty"`
+	// Held counts ended tasks of the receiver whose results wait for others of their job.
+	Held    int  `cbor:"held,omitempty" json:"held,omitempty"`
+	Leaving bool `cbor:"leaving,omitempty" json:"leaving,omitempty"`
+	Ejected bool `cbor:"ejected,omitempty" json:"ejected,omitempty"`
 	// Trial says that the agent was ejected and now takes one task to prove itself.
 	Trial bool `cbor:"trial,omitempty" json:"trial,omitempty"`
 }
@@ -180,17 +182,19 @@
 
 // Start asks an agent to run tasks of one job under the owner's epoch; Budget is in milliseconds.
 type Start struct {
-	Shard      int          `cbor:"shard"`
-	Epoch      uint64       `cbor:"epoch"`
-	Key        shard.Key    `cbor:"key"`
-	Job        string       `cbor:"job"`
-	Tenant     string       `cbor:"tenant"`
-	Kind       string       `cbor:"kind,omitempty"`
-	Digest     uint64       `cbor:"digest"`
-	Urgent     bool         `cbor:"urgent,omitempty"`
-	Repeatable bool         `cbor:"repeatable,omitempty"`
-	Budget     clock.Millis `cbor:"budget"`
-	Items      []Item       `cbor:"items"`
+	Shard      int       `cbor:"shard"`
+	Epoch      uint64    `cbor:"epoch"`
+	Key        shard.Key `cbor:"key"`
+	Job        string    `cbor:"job"`
+	Tenant     string    `cbor:"tenant"`
+	Kind       string    `cbor:"kind,omitempty"`
+	Digest     uint64    `cbor:"digest"`
+	Urgent     bool      `cbor:"urgent,omitempty"`
+	Repeatable bool      `cbor:"repeatable,omitempty"`
+	// Now asks for a refusal if no slot is free, so that the task can go elsewhere.
+	Now    bool         `cbor:"now,omitempty"`
+	Budget clock.Millis `cbor:"budget"`
+	Items  []Item       `cbor:"items"`
 }
 
 // State is what an agent knows of a task.
