--- a/internal/shard/map.go
+++ b/internal/shard/map.go
@@ -144,22 +144,37 @@
 	if len(stay) == 0 {
 		return
 	}
-	quota := (len(m.Shards) + len(stay) - 1) / len(stay)
 	owned := m.countOwned(stay)
 	for i := range m.Shards {
-		id := m.Shards[i].ID
-		if n, ok := owned[id]; ok && n <= quota {
-			continue
+		if _, ok := owned[m.Shards[i].ID]; !ok {
+			to, _ := extremes(stay, owned)
+			m.move(i, to)
+			owned[to]++
 		}
-		if _, ok := owned[id]; ok {
-			if m.least(stay, owned, owned[id]-1) == "" {
-				continue
-			}
-			owned[id]--
+	}
+	for {
+		to, from := extremes(stay, owned)
+		if owned[from]-owned[to] <= 1 {
+			return
+		}
+		m.move(slices.IndexFunc(m.Shards, func(o Owner) bool { return o.ID == from }), to)
+		owned[from]--
+		owned[to]++
+	}
+}
+
+// extremes returns the first members that own the fewest and the most shards.
+func extremes(stay []ID, owned map[ID]int) (fewest, most ID) {
+	fewest, most = stay[0], stay[0]
+	for _, id := range stay {
+		if owned[id] < owned[fewest] {
+			fewest = id
+		}
+		if owned[id] > owned[most] {
+			most = id
 		}
-		m.move(i, m.least(stay, owned, len(m.Shards)))
-		owned[m.Shards[i].ID]++
 	}
+	return fewest, most
 }
 
 func (m *Map) staying() []ID {
@@ -185,17 +200,6 @@
 	return owned
 }
 
-// least returns the member that owns the fewest shards, if that is fewer than limit.
-func (m *Map) least(stay []ID, owned map[ID]int, limit int) ID {
-	best := ID("")
-	for _, id := range stay {
-		if owned[id] < limit {
-			best, limit = id, owned[id]
-		}
-	}
-	return best
-}
-
 func (m *Map) move(i int, to ID) {
 	o := &m.Shards[i]
 	from := o.ID
