--- /dev/null
+++ b/internal/agent/lease_controller_test.go
@@ -0,0 +1,123 @@
+package agent_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"corianderspur.example/corianderspur/internal/agent"
+	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/event"
+	"corianderspur.example/corianderspur/internal/proto"
+	"corianderspur.example/corianderspur/internal/shard"
+)
+
+const lease = 3 * clock.Second
+
+func start(epoch uint64, job string, repeatable bool) event.Received {
+	return event.Received{From: owner, Message: proto.Message{Start: &proto.Start{
+		Shard: 1, Epoch: epoch, Key: shard.NewKey("shops", job), Job: job, Tenant: "shops", Repeatable: repeatable,
+		Budget: 60_000, Items: []proto.Item{{Attempt: 1, Payload: []byte(`{"ms":50}`)}},
+	}}}
+}
+
+// runs counts the tasks that actions start.
+func runs(actions []event.Action) int {
+	n := 0
+	for _, a := range actions {
+		if _, ok := a.(agent.Run); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func pong(sent clock.Millis) event.Received {
+	return event.Received{From: owner, Message: proto.Message{Pong: &proto.Pong{Sent: sent}}}
+}
+
+// An agent that has neither heard from every entry nor read the table within the lease starts nothing that may not be
+// repeated.
+func TestLapsedLeaseRefusesStarts(t *testing.T) {
+	m := serving(t, 1, lease)
+	qt.Check(t, runs(m.Handle(2000, start(1, "in time", false))), qt.Equals, 1)
+	qt.Check(t, runs(m.Handle(1000+lease+1, start(1, "too late", false))), qt.Equals, 0)
+	qt.Check(t, runs(m.Handle(1000+lease+2, start(1, "repeatable", true))), qt.Equals, 1)
+	m.Handle(6000, pong(5900))
+	qt.Check(t, runs(m.Handle(6001, start(1, "current again", false))), qt.Equals, 1)
+}
+
+// An answer that lay in a queue proves nothing about now: freshness counts from when the heartbeat was sent.
+func TestLateAnswerIsNotFresh(t *testing.T) {
+	m := serving(t, 1, lease)
+	m.Handle(9000, pong(2000))
+	qt.Check(t, runs(m.Handle(9001, start(1, "late", false))), qt.Equals, 0)
+}
+
+// One silent entry is enough to let the lease lapse, since that entry may have changed the map.
+func TestEveryEntryMustBeHeard(t *testing.T) {
+	m := serving(t, 2, lease)
+	m.Handle(6000, pong(5900))
+	qt.Check(t, runs(m.Handle(6001, start(1, "one is silent", false))), qt.Equals, 0)
+}
+
+// After a newer epoch was seen, starts under an older one are refused.
+func TestFenceRefusesOlderEpoch(t *testing.T) {
+	m := serving(t, 1, lease)
+	m.Handle(2000, event.Received{From: owner, Message: proto.Message{Fence: &proto.Fence{
+		Shards: []proto.ShardEpoch{{Shard: 1, Epoch: 5}},
+	}}})
+	qt.Check(t, runs(m.Handle(2001, start(4, "old", false))), qt.Equals, 0)
+	qt.Check(t, runs(m.Handle(2002, start(4, "old and repeatable", true))), qt.Equals, 0)
+	qt.Check(t, runs(m.Handle(2003, start(5, "new", false))), qt.Equals, 1)
+}
+
+// A start that arrives twice is run once.
+func TestDoubledStart(t *testing.T) {
+	m := serving(t, 1, lease)
+	qt.Check(t, runs(m.Handle(2000, start(1, "a", false))), qt.Equals, 1)
+	qt.Check(t, runs(m.Handle(2001, start(1, "a", false))), qt.Equals, 0)
+	m.Handle(2002, agent.RunDone{Key: shard.NewKey("shops", "a"), Attempt: 1, Verdict: agent.VerdictDone})
+	qt.Check(t, runs(m.Handle(2003, start(1, "a", false))), qt.Equals, 0)
+}
+
+// A queued task whose lease has lapsed when a slot is free is refused, not started.
+func TestLeaseLapsesInQueue(t *testing.T) {
+	m := serving(t, 1, lease)
+	for i := range 8 {
+		m.Handle(2000, start(1, string(rune('a'+i)), false))
+	}
+	qt.Check(t, runs(m.Handle(2000, start(1, "waits", false))), qt.Equals, 0)
+	done := agent.RunDone{Key: shard.NewKey("shops", "a"), Attempt: 1, Verdict: agent.VerdictDone}
+	actions := m.Handle(1000+lease+1, done)
+	qt.Check(t, runs(actions), qt.Equals, 0)
+	refused := false
+	for _, a := range actions {
+		if s, ok := a.(event.Send); ok && s.Message.Result != nil {
+			o := s.Message.Result.Outcomes[0]
+			refused = refused || (o.State == proto.StateRefused && o.Refusal == proto.ReasonStale)
+		}
+	}
+	qt.Check(t, refused, qt.IsTrue)
+}
+
+// A worker that fails everything is given up after two failures in a row and let back by one task.
+func TestFailingBackendServerIsEjected(t *testing.T) {
+	m := serving(t, 1, 1<<40)
+	now := clock.Millis(2000)
+	fail := func(job string, v agent.Verdict) {
+		m.Handle(now, start(1, job, false))
+		m.Handle(now, agent.RunDone{Key: shard.NewKey("shops", job), Attempt: 1, Verdict: v})
+	}
+	fail("1", agent.VerdictServerFailed)
+	fail("2", agent.VerdictServerFailed)
+	qt.Check(t, m.Status(now).Load.Ejected, qt.IsTrue)
+	qt.Check(t, runs(m.Handle(now, start(1, "3", false))), qt.Equals, 0)
+	now += 5000
+	m.Handle(now, event.Tick{})
+	qt.Check(t, m.Status(now).Load.Trial, qt.IsTrue)
+	qt.Check(t, runs(m.Handle(now, start(1, "4", false))), qt.Equals, 1)
+	qt.Check(t, runs(m.Handle(now, start(1, "5", false))), qt.Equals, 0)
+	m.Handle(now, agent.RunDone{Key: shard.NewKey("shops", "4"), Attempt: 1, Verdict: agent.VerdictDone})
+	qt.Check(t, m.Status(now).Load.Trial, qt.IsFalse)
+}
--- a/internal/entry/agent_controller.go
+++ b/internal/entry/agent_controller.go
@@ -53,6 +53,7 @@
 	config   *ConfigController
 	views    []*agentView
 	byID     map[shard.ID]*agentView
+	byWorker map[string]*agentView
 	eligible map[string][]*agentView
 	runTime  map[string]float64
 	meanRun  float64
@@ -71,6 +72,7 @@
 func NewAgentController(c *common, maps *MapController, config *ConfigController) *AgentController {
 	return &AgentController{
 		common: c, maps: maps, config: config, byID: map[shard.ID]*agentView{},
+		byWorker: map[string]*agentView{},
 		eligible: map[string][]*agentView{}, runTime: map[string]float64{}, meanRun: firstRunTime,
 		spareAt: never,
 	}
@@ -90,8 +92,10 @@
 	if v == nil {
 		v = &agentView{id: id, slow: 1}
 		c.byID[id] = v
-		c.views = append(c.views, v)
-		slices.SortFunc(c.views, func(a, b *agentView) int { return strings.Compare(string(a.id), string(b.id)) })
+		at, _ := slices.BinarySearchFunc(c.views, id, func(x *agentView, id shard.ID) int {
+			return strings.Compare(string(x.id), string(id))
+		})
+		c.views = slices.Insert(c.views, at, v)
 	}
 	v.connected = true
 	v.lost = false
@@ -128,19 +132,24 @@
 	v.zone = p.Zone
 	v.known = true
 	v.own = p.Labels.Merge(label.Set{"worker": p.Worker, "availability_zone": p.Zone})
-	c.Invalidate()
-	for _, other := range slices.Clone(c.views) {
-		if other == v || other.worker != v.worker {
-			continue
-		}
-		if base(other.id) == base(v.id) {
-			v.inFlight = other.inFlight
-			c.onRenamed(other.id, v.id)
-		}
-		c.giveUp(other)
+	v.labels = c.config.policy.WorkerLabels(v.worker, v.own)
+	clear(c.eligible)
+	other := c.byWorker[v.worker]
+	c.byWorker[v.worker] = v
+	if other != nil && other != v {
+		c.replace(other, v)
 	}
 }
 
+// replace gives up an agent in whose place another has come, or follows it if it only changed its identity.
+func (c *AgentController) replace(old, v *agentView) {
+	if base(old.id) == base(v.id) {
+		v.inFlight = old.inFlight
+		c.onRenamed(old.id, v.id)
+	}
+	c.giveUp(old)
+}
+
 // base returns an agent's identity without the count of its renewals.
 func base(id shard.ID) string {
 	name, _, _ := strings.Cut(string(id), ".")
@@ -391,6 +400,9 @@
 			continue
 		}
 		c.giveUp(v)
+		if c.byWorker[v.worker] == v {
+			delete(c.byWorker, v.worker)
+		}
 		delete(c.byID, l.Agent)
 		c.views = slices.DeleteFunc(c.views, func(x *agentView) bool { return x == v })
 	}
--- a/internal/trial/takeover_test.go
+++ b/internal/trial/takeover_test.go
@@ -1,13 +1,16 @@
 package trial
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
+	"corianderspur.example/corianderspur/internal/agent"
 	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/entry"
 	"corianderspur.example/corianderspur/internal/proto"
+	"corianderspur.example/corianderspur/pkg/label"
 )
 
 // held checks that nothing happened that must never happen.
@@ -91,9 +94,10 @@
 	c.Assert(elsewhere.status(), qt.Equals, proto.StatusComplete)
 	denied := j
 	denied.Digest++
+	denied.Labels = label.Set{"kind": "denied"}
 	there := w.submit(e0, denied)
 	w.run(8000)
-	c.Assert(there.answer.Run, qt.Not(qt.Equals), proto.RanNo)
+	c.Assert(there.answer.Run, qt.Equals, proto.RanUnknown)
 	c.Assert(w.started[j.Key], qt.Equals, 1)
 }
 
@@ -204,3 +208,38 @@
 	c.Assert(n.entryStatus().ShardsOwned, qt.Equals, 4)
 	w.heldAll(c)
 }
+
+// A member of the map whose write is unsettled keeps silent to agents, so that none is current by it meanwhile.
+func TestUnsettledWriteLetsLeasesLapse(t *testing.T) {
+	c, w := session(t, 2, 2)
+	w.loseMapWrite = 9000
+	w.addEntry("e2")
+	w.run(lease + 3000)
+	for _, name := range []string{"a0", "a1"} {
+		c.Check(w.proc(name).machine.(*agent.Machine).Status(w.now).Current, qt.IsFalse)
+	}
+	w.run(10_000)
+	for _, name := range []string{"a0", "a1"} {
+		c.Check(w.proc(name).machine.(*agent.Machine).Status(w.now).Current, qt.IsTrue)
+	}
+}
+
+// Two owners in a row that may have missed starts cannot both use the attempt that is kept for when records are lost.
+func TestRepeatableBoundAfterTwoLosses(t *testing.T) {
+	c, w := session(t, 3, 1)
+	e0 := w.proc("e0")
+	w.behave["a0"] = agent.VerdictTaskFailed
+	w.behave["a1"] = agent.VerdictTaskFailed
+	j := w.owned(e0, check, 100)
+	var last *copyOf
+	for i, name := range []string{"e0", "e1", "e2"} {
+		last = w.submit(w.owner(w.proc(name), j), j)
+		w.run(500)
+		w.owner(w.proc(name), j).kill()
+		w.proc(fmt.Sprint("a", i)).kill()
+		w.addAgent(fmt.Sprint("a", i+1), 4)
+		w.run(6000)
+	}
+	c.Assert(last.answer, qt.IsNotNil)
+	w.heldAll(c)
+}
--- a/internal/trial/world_test.go
+++ b/internal/trial/world_test.go
@@ -83,19 +83,21 @@
 
 // world holds the processes and fakes of one session.
 type world struct {
-	rng     *rand.Rand
-	now     clock.Millis
-	steps   steps
-	seq     int
-	table   *stand.Table
-	down    clock.Millis
-	lossy   clock.Millis
-	procs   []*proc
-	cuts    map[cut]clock.Millis
-	log     strings.Builder
-	logging bool
-	fixed   bool
-	serial  int
+	rng   *rand.Rand
+	now   clock.Millis
+	steps steps
+	seq   int
+	table *stand.Table
+	down  clock.Millis
+	lossy clock.Millis
+	// loseMapWrite is how long replies are lost from the next write of the map on, in milliseconds.
+	loseMapWrite clock.Millis
+	procs        []*proc
+	cuts         map[cut]clock.Millis
+	log          strings.Builder
+	logging      bool
+	fixed        bool
+	serial       int
 
 	starts   map[string]int
 	started  map[shard.Key]int
@@ -417,6 +419,10 @@
 		}
 	}
 	w.after(tableTimeout, func() { finish(table.Reply{}, stand.ErrDown) })
+	if w.loseMapWrite > 0 && len(a.Txn.Writes) > 0 && a.Txn.Writes[0].Key == agent.MapKey {
+		w.lossy = w.now + w.loseMapWrite
+		w.loseMapWrite = 0
+	}
 	arrive := w.delay()
 	if until, ok := w.isCut(p.name, tableName); ok {
 		arrive += until - w.now
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -7,6 +7,7 @@
 BIN=${BIN:-bin}
 TOKEN=demo-operator-token-0001
 AGENTS=${AGENTS:-11}
+ENTRIES=${ENTRIES:-3}
 SLOTS=${SLOTS:-8}
 RETENTION=${RETENTION:-600000}
 EXTRA_ENTRY=${EXTRA_ENTRY:-}
@@ -20,12 +21,12 @@
 
 declare -A PIDS
 TABLE=127.0.0.1:$BASE
-session_addr() { echo "127.0.0.1:$((BASE + 100 + $1))"; }
-caller_addr() { echo "127.0.0.1:$((BASE + 200 + $1))"; }
-admin_addr() { echo "127.0.0.1:$((BASE + 300 + $1))"; }
-announce_addr() { echo "127.0.0.1:$((BASE + 400 + $1))"; }
-agent_admin_addr() { echo "127.0.0.1:$((BASE + 500 + $1))"; }
-backend_addr() { echo "127.0.0.1:$((BASE + 600 + $1))"; }
+session_addr() { echo "127.0.0.1:$((BASE + 200 + $1))"; }
+caller_addr() { echo "127.0.0.1:$((BASE + 400 + $1))"; }
+admin_addr() { echo "127.0.0.1:$((BASE + 600 + $1))"; }
+announce_addr() { echo "127.0.0.1:$((BASE + 800 + $1))"; }
+agent_admin_addr() { echo "127.0.0.1:$((BASE + 1000 + $1))"; }
+backend_addr() { echo "127.0.0.1:$((BASE + 1200 + $1))"; }
 zone() { echo "${ZONES[$(($1 % ${#ZONES[@]}))]}"; }
 
 # start NAME COMMAND...: runs a process in the background with its log in $RUN/NAME.log
@@ -65,12 +66,12 @@
   rm -f "$RUN"/*.log "$RUN"/*.json
   trap end_all EXIT
   start_table
-  for i in 0 1 2; do start_entry "$i"; done
+  for i in $(seq 0 $((ENTRIES - 1))); do start_entry "$i"; done
   for i in $(seq 0 $((AGENTS - 1))); do
     start_agent "$i"
     start_backend "$i"
   done
-  for i in 0 1 2; do await_ready "$i"; done
+  for i in $(seq 0 $((ENTRIES - 1))); do await_ready "$i"; done
 }
 
 # await_ready N: waits until entry N would serve a request, for half a minute at most
@@ -120,7 +121,7 @@
 
 entry_flags() { for i in "$@"; do echo "--entry $(caller_addr "$i")"; done; }
 figure_flags() {
-  for i in 0 1 2; do echo "--figures $(admin_addr "$i")"; done
+  for i in $(seq 0 $((ENTRIES - 1))); do echo "--figures $(admin_addr "$i")"; done
   for i in $(seq 0 $((AGENTS - 1))); do echo "--figures $(agent_admin_addr "$i")"; done
 }
 backend_flags() { for i in $(seq 0 $((AGENTS - 1))); do echo "--backend $(backend_addr "$i")"; done; }
