Let load ask another entry when one gives no answer in time

Change: a try ends one second after the job's deadline, and the job is then asked for at another entry.

--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -181,15 +181,15 @@
 	return &client.Client{Addr: x.cfg.Entries[n%len(x.cfg.Entries)], HTTP: x.client}
 }
 
-// submit asks for a job's answer, at other entries too while connections fail, until its deadline.
+// submit asks for a job's answer, at other entries too when one gives none in time.
 func (x *runner) submit(ctx context.Context, o offer, at time.Time, n int) {
-	limit := time.Duration(o.job.DeadlineMS)*time.Millisecond + 2*time.Second
-	ctx, cancel := context.WithDeadline(ctx, at.Add(limit))
+	patience := time.Duration(o.job.DeadlineMS)*time.Millisecond + time.Second
+	ctx, cancel := context.WithDeadline(ctx, at.Add(2*patience))
 	defer cancel()
 	var a client.Answer
 	var err error
 	for try := 0; ctx.Err() == nil; try++ {
-		a, err = x.entry(n+try).Submit(ctx, o.job)
+		a, err = x.try(ctx, &o, n+try, patience)
 		if err == nil && a.Reason != "stale" {
 			break
 		}
@@ -208,6 +208,13 @@
 	x.report.answered(&o, &a, took)
 }
 
+// try submits a job to one entry, which may be frozen.
+func (x *runner) try(ctx context.Context, o *offer, n int, patience time.Duration) (client.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	return x.entry(n).Submit(ctx, o.job)
+}
+
 // whole reports whether an answer holds the result of every task of its own job, in order.
 func whole(o *offer, a *client.Answer) bool {
 	if len(a.Results) != len(o.job.Tasks) {
--- a/internal/trial/jobs_test.go
+++ b/internal/trial/jobs_test.go
@@ -50,7 +50,7 @@
 		w.addEntry(fmt.Sprintf("e%d", i))
 	}
 	for i := range agents {
-		w.addAgent(fmt.Sprintf("a%d", i), 4)
+		w.addAgent(fmt.Sprintf("a%d", i))
 	}
 	w.run(3000)
 	w.proc("e0").handle(entry.Apply{Ref: 1, Document: rules()})
--- a/internal/trial/random_test.go
+++ b/internal/trial/random_test.go
@@ -143,7 +143,7 @@
 		c.w.addEntry(name)
 		return
 	}
-	c.w.addAgent(name, 4)
+	c.w.addAgent(name)
 }
 
 // cut severs one direction or both between two parts, the table among them.
--- a/internal/trial/takeover_test.go
+++ b/internal/trial/takeover_test.go
@@ -114,7 +114,7 @@
 	e0.kill()
 	w.proc("a0").kill()
 	w.proc("a1").kill()
-	w.addAgent("a2", 4)
+	w.addAgent("a2")
 	w.run(5000)
 	first := w.submit(e1, once)
 	second := w.submit(e1, twice)
@@ -237,7 +237,7 @@
 		w.run(500)
 		w.owner(w.proc(name), j).kill()
 		w.proc(fmt.Sprint("a", i)).kill()
-		w.addAgent(fmt.Sprint("a", i+1), 4)
+		w.addAgent(fmt.Sprint("a", i+1))
 		w.run(6000)
 	}
 	c.Assert(last.answer, qt.IsNotNil)
--- a/internal/trial/world_test.go
+++ b/internal/trial/world_test.go
@@ -23,6 +23,7 @@
 	tick         = 50 * clock.Millis(1)
 	tableTimeout = 2 * clock.Second
 	tableName    = "table"
+	agentSlots   = 4
 )
 
 var terms = shard.Terms{Lease: 3000, Margin: 500, Retention: 40_000}
@@ -167,14 +168,14 @@
 	return p
 }
 
-func (w *world) addAgent(name string, slots int) {
+func (w *world) addAgent(name string) {
 	p := w.newProc(name, proto.RoleAgent)
 	p.machine = agent.New(agent.Config{
 		ID: p.id, Worker: name, Zone: "a", PingEvery: 1000, QueueLimit: 16, KeepBytes: 1 << 20,
 		BackendTimeout: 1 << 40, EjectAfter: 2, EjectFor: 5000, EjectMax: 60_000, DrainLimit: 10_000,
 	}, w.now)
 	p.scheduleTick()
-	p.handle(agent.BackendAnnounced{Slots: slots})
+	p.handle(agent.BackendAnnounced{Slots: agentSlots})
 }
 
 func (p *proc) scheduleTick() {
