Measure single events under load; collect agents' garbage sooner

Cause: issue asks what one failing, slow or leaving backend server and a table outage cost. Change: EVENT in scripts/measure.sh; agents run their collector at 25% growth, which costs little processor time.

--- a/internal/cmds/roles.go
+++ b/internal/cmds/roles.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
+	"runtime/debug"
 
 	"corianderspur.example/corianderspur/internal/conf"
 	"corianderspur.example/corianderspur/internal/node"
@@ -41,6 +42,9 @@
 	return node.RunEntry(ctx, cfg, incarnation, seed, node.NewLogger(cfg.Name))
 }
 
+// agentGCPercent trades processor time for memory: an agent holds tens of thousands of records and does little.
+const agentGCPercent = 25
+
 type agentCommand struct {
 	settings string
 }
@@ -50,6 +54,7 @@
 	if err != nil {
 		return &exitError{code: ExitUsage, err: err}
 	}
+	debug.SetGCPercent(agentGCPercent)
 	incarnation, _ := newIncarnation()
 	return node.RunAgent(ctx, cfg, incarnation, node.NewLogger(cfg.Name))
 }
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Measures one load on a fresh deployment: measure.sh LOAD SECONDS [policy|baseline] [flags of load...]
+# EVENT=fail|slow|freeze|leave|outage|kill does something to one backend server, the table or an entry after 4 s.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 SHARE=${1:-0.8} SECONDS_OF_LOAD=${2:-20} POLICY=${3:-policy}
@@ -14,6 +15,23 @@
 admin 0 apply --why "measurement" "deploy/$DEPLOYMENT.json" >/dev/null
 sleep 1
 await_settled 0
-echo "-- $DEPLOYMENT $POLICY"
+echo "-- $DEPLOYMENT $POLICY ${EVENT:-}"
+control() { curl -fsS -X POST -d "$2" "http://$(backend_addr "$1")/control"; }
+event() {
+  sleep 4
+  case $1 in
+    fail) control 0 '{"fail_all":true}' ;;
+    slow) control 0 '{"slow":5}' ;;
+    freeze) control 0 '{"freeze":true}' ;;
+    leave) control 0 '{"leave":true}'; date +%s%3N >"$RUN/left" ;;
+    outage) curl -fsS -X POST -d '{"down":true}' "http://$TABLE/fault" ;;
+    kill) signal entry-2 KILL ;;
+  esac
+}
+[ -z "${EVENT:-}" ] || event "$EVENT" &
 # shellcheck disable=SC2046
 load "$SECONDS_OF_LOAD" "$SHARE" $(entry_flags 0 1 2) --quiet "$@"
+if [ "${EVENT:-}" = leave ]; then
+  last=$(curl -fsS "http://$(backend_addr 0)/starts" | grep -o '"last_start_unix_ms":[0-9]*' | cut -d: -f2)
+  echo "last start $((last - $(cat "$RUN/left"))) ms after the backend server said that it leaves"
+fi
