Keep the reserve for urgent tasks at the front, and have its agents enforce it

Cause: the reserve was kept by each owner's estimate of all free slots, and three owners spent the same slots. Change: the reserve (5% of all slots) lies at the agents of the front; starts tell them how many slots to keep free.

--- a/internal/agent/run_controller.go
+++ b/internal/agent/run_controller.go
@@ -32,6 +32,8 @@
 	length  int
 	urgent  int
 	running int
+	// reserve is the number of slots that owners want kept free for urgent tasks.
+	reserve int
 	started map[runKey]clock.Millis
 
 	announced bool
@@ -101,6 +103,7 @@
 
 // Start accepts, refuses or repeats the outcome of each task of a message.
 func (c *RunController) Start(s *proto.Start) {
+	c.reserve = s.Reserve
 	r := c.records.Open(s)
 	refusal := c.lease.Refusal(s)
 	if r.digest != s.Digest {
@@ -195,7 +198,7 @@
 // Pump starts queued tasks while slots are free.
 func (c *RunController) Pump() {
 	for c.canStart() {
-		w, ok := c.queue.Next()
+		w, ok := c.queue.Next(c.running < max(1, c.slots-c.reserve))
 		if !ok {
 			return
 		}
@@ -318,7 +321,7 @@
 
 func (c *RunController) refuseQueued(reason proto.Reason) {
 	for {
-		w, ok := c.queue.Next()
+		w, ok := c.queue.Next(true)
 		if !ok {
 			return
 		}
--- a/internal/entry/agent_controller.go
+++ b/internal/entry/agent_controller.go
@@ -27,8 +27,6 @@
 	flightTime = 5 * clock.Millis(1)
 	// frontShare is the share of agents to which urgent tasks are sent first and others last.
 	frontShare = 0.15
-	// spareEvery is the time between new estimates of all free slots, in milliseconds.
-	spareEvery = 5 * clock.Millis(1)
 )
 
 // pool holds the agents on which one rule allows tasks to run. Every entry knows the same front: urgent tasks are sent
@@ -36,6 +34,16 @@
 type pool struct {
 	agents []*agentView
 	front  map[*agentView]bool
+	// reserve is the number of slots at each agent of the front that are kept free for urgent tasks.
+	reserve int
+}
+
+// Reserve returns the number of slots at an agent that are kept free for urgent tasks.
+func (p *pool) Reserve(v *agentView) int {
+	if p.front[v] {
+		return p.reserve
+	}
+	return 0
 }
 
 type agentView struct {
@@ -70,9 +78,6 @@
 	meanRun  float64
 	// meanOthers is the mean share of an agent's slots that other entries use.
 	meanOthers float64
-	// spareSlots is the last estimate of the free slots beyond the reserve, made at spareAt.
-	spareSlots float64
-	spareAt    clock.Millis
 	// onLost is called when tasks at an agent must be given up.
 	onLost func(id shard.ID)
 	// onRenamed is called when an agent goes on under a new identity.
@@ -85,7 +90,6 @@
 		common: c, maps: maps, config: config, byID: map[shard.ID]*agentView{},
 		byWorker: map[string]*agentView{},
 		eligible: map[string]*pool{}, runTime: map[string]float64{}, meanRun: firstRunTime,
-		spareAt: never,
 	}
 }
 
@@ -171,6 +175,9 @@
 func (c *AgentController) Report(v *agentView, load proto.Load) {
 	v.heard = c.now
 	v.reported = c.now
+	if load.Slots != v.load.Slots {
+		clear(c.eligible)
+	}
 	v.load = load
 	v.sent = slices.DeleteFunc(v.sent, func(at clock.Millis) bool { return c.now-at > flightTime })
 	if load.Slots > 0 {
@@ -183,7 +190,6 @@
 func (c *AgentController) Sent(v *agentView) {
 	v.sent = append(v.sent, c.now)
 	v.inFlight++
-	c.spareSlots--
 }
 
 // Ended counts the end of a task at an agent and learns from its run time.
@@ -193,7 +199,6 @@
 		return
 	}
 	v.inFlight = max(0, v.inFlight-1)
-	c.spareSlots++
 	switch o.State {
 	case proto.StateRefused:
 		v.sent = v.sent[:max(0, len(v.sent)-1)]
@@ -257,19 +262,24 @@
 				p.agents = append(p.agents, v)
 			}
 		}
-		p.chooseFront()
+		p.chooseFront(c.cfg.UrgentReserve)
 		c.eligible[rule] = p
 	}
 	return p
 }
 
-// chooseFront picks the front by a hash of the workers' names.
-func (p *pool) chooseFront() {
+// chooseFront picks the front by a hash of the workers' names and divides the reserve, a share of all slots, among it.
+func (p *pool) chooseFront(share float64) {
 	ranked := slices.Clone(p.agents)
 	slices.SortFunc(ranked, func(a, b *agentView) int { return cmp.Compare(rank(a.worker), rank(b.worker)) })
 	for _, v := range ranked[:int(math.Ceil(frontShare*float64(len(ranked))))] {
 		p.front[v] = true
 	}
+	slots := 0
+	for _, v := range p.agents {
+		slots += v.load.Slots
+	}
+	p.reserve = int(math.Ceil(share * float64(slots) / float64(max(1, len(p.front)))))
 }
 
 func rank(worker string) uint32 {
@@ -311,7 +321,7 @@
 	offset := c.rng.IntN(len(list) + 1)
 	for i := range list {
 		v := list[(i+offset)%len(list)]
-		if !c.hasRoom(v, urgent, repeatable) {
+		if !c.hasRoom(p, v, urgent, repeatable) {
 			continue
 		}
 		score := c.score(v, urgent, p.front[v])
@@ -322,7 +332,7 @@
 	return best
 }
 
-func (c *AgentController) hasRoom(v *agentView, urgent, repeatable bool) bool {
+func (c *AgentController) hasRoom(p *pool, v *agentView, urgent, repeatable bool) bool {
 	if !v.usable() || c.now < v.avoid {
 		return false
 	}
@@ -332,7 +342,7 @@
 	if urgent {
 		return c.free(v, true) > -1
 	}
-	return c.free(v, false) >= 1 && c.spare() >= 1
+	return c.free(v, false)-float64(p.Reserve(v)) >= 1
 }
 
 // score orders agents by the wait to expect at them; the front goes first or last, and the entry's own availability zone
@@ -368,22 +378,6 @@
 	return float64(v.load.Slots) - mine - mean - (others-mean)*kept
 }
 
-// spare returns the slots that are free beyond those kept for urgent tasks, as estimated a moment ago.
-func (c *AgentController) spare() float64 {
-	if c.now-c.spareAt >= spareEvery {
-		c.spareAt = c.now
-		total, free := 0, 0.0
-		for _, v := range c.views {
-			if v.usable() {
-				total += v.load.Slots
-				free += max(0, c.free(v, false))
-			}
-		}
-		c.spareSlots = free - math.Ceil(c.cfg.UrgentReserve*float64(total))
-	}
-	return c.spareSlots
-}
-
 func (c *AgentController) chooseRandom(list []*agentView) *agentView {
 	for range len(list) * 2 {
 		v := list[c.rng.IntN(len(list))]
--- a/internal/entry/dispatch_controller.go
+++ b/internal/entry/dispatch_controller.go
@@ -129,7 +129,7 @@
 	w.job.starts++
 	c.agents.Sent(v)
 	c.retries = min(retryMost, c.retries+retryShare)
-	c.add(w.job, w.index)
+	c.add(w.job, w.index).Reserve = pool.Reserve(v)
 	return true
 }
 
@@ -148,8 +148,8 @@
 	c.add(j, index)
 }
 
-// add puts a start into the message for its job and agent.
-func (c *DispatchController) add(j *job, index int) {
+// add puts a start into the message for its job and agent and returns the message.
+func (c *DispatchController) add(j *job, index int) *proto.Start {
 	t := &j.tasks[index]
 	key := startKey{j.key, t.agent, j.decision.Urgent && !c.cfg.Baseline && t.passed < mostPassed}
 	s := c.batch[key]
@@ -163,6 +163,7 @@
 		c.order = append(c.order, key)
 	}
 	s.Items = append(s.Items, proto.Item{Index: index, Attempt: t.attempt, Payload: j.content.Tasks[index].Payload})
+	return s
 }
 
 func (c *DispatchController) flush() {
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -192,9 +192,11 @@
 	Urgent     bool      `cbor:"urgent,omitempty"`
 	Repeatable bool      `cbor:"repeatable,omitempty"`
 	// Now asks for a refusal if no slot is free, so that the task can go elsewhere.
-	Now    bool         `cbor:"now,omitempty"`
-	Budget clock.Millis `cbor:"budget"`
-	Items  []Item       `cbor:"items"`
+	Now bool `cbor:"now,omitempty"`
+	// Reserve is the number of slots that this agent is to keep free for urgent tasks.
+	Reserve int          `cbor:"reserve,omitempty"`
+	Budget  clock.Millis `cbor:"budget"`
+	Items   []Item       `cbor:"items"`
 }
 
 // State is what an agent knows of a task.
--- a/internal/queue/fair.go
+++ b/internal/queue/fair.go
@@ -63,8 +63,11 @@
 	return len(q.class(urgent).turn)
 }
 
-// Next removes and returns the next item of both classes.
-func (q *Fair[T]) Next() (item T, ok bool) {
+// Next removes and returns the next item, leaving out normal ones where they are not allowed.
+func (q *Fair[T]) Next(normalAllowed bool) (item T, ok bool) {
+	if !normalAllowed {
+		return q.urgent.pop()
+	}
 	if q.normal.size == 0 {
 		q.streak = 0
 		return q.urgent.pop()
--- a/internal/queue/fair_test.go
+++ b/internal/queue/fair_test.go
@@ -12,7 +12,7 @@
 func drain(q *queue.Fair[string]) string {
 	var all []string
 	for {
-		item, ok := q.Next()
+		item, ok := q.Next(true)
 		if !ok {
 			return strings.Join(all, " ")
 		}
