--- a/internal/trial/jobs_test.go
+++ b/internal/trial/jobs_test.go
@@ -77,6 +77,11 @@
 	return w.byID(m.Shards[m.Of(j.Key)].ID)
 }
 
+// entryShard returns the shard of a job.
+func (p *proc) entryShard(j proto.Job) int {
+	return p.machine.(*entry.Machine).Map().Of(j.Key)
+}
+
 // owned returns a job that an entry owns; jobs made by several calls differ.
 func (w *world) owned(p *proc, make func(id string, ms ...int) proto.Job, ms ...int) proto.Job {
 	for {
