Test the wait after a strike, the new identity of a struck agent, and the drop of old input

Cause: no test failed without these three guards. Change: one scenario each; a caller of load makes five tries that end without an answer.

--- a/internal/agent/lease_controller_test.go
+++ b/internal/agent/lease_controller_test.go
@@ -121,3 +121,19 @@
 	m.Handle(now, agent.RunDone{Key: shard.NewKey("shops", "4"), Attempt: 1, Verdict: agent.VerdictDone})
 	qt.Check(t, m.Status(now).Load.Trial, qt.IsFalse)
 }
+
+// An agent that was struck off takes a new identity and starts nothing under the old one.
+func TestStruckAgentTakesNewIdentity(t *testing.T) {
+	m := serving(t, 1, 1<<40)
+	next := shard.New(shard.Member{ID: owner}, 256, shard.Terms{Lease: 1 << 40, Retention: 600_000}).Next(owner)
+	next.Strike("agent-0/1")
+	reset := false
+	for _, a := range m.Handle(2000, event.Received{From: owner, Message: proto.Message{Fence: &proto.Fence{Map: next}}}) {
+		if r, ok := a.(event.Reset); ok {
+			reset = r.ID == "agent-0/1.1"
+		}
+	}
+	qt.Check(t, reset, qt.IsTrue)
+	qt.Check(t, m.ID(), qt.Equals, shard.ID("agent-0/1.1"))
+	qt.Check(t, runs(m.Handle(2001, start(1, "not joined", false))), qt.Equals, 0)
+}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -20,6 +20,8 @@
 	maxSeconds  = 3600
 	maxInFlight = 20000
 	retryPause  = 50 * time.Millisecond
+	// callerPatience is how many tries that end without an answer a caller makes at the least.
+	callerPatience = 5
 )
 
 // Config is what a run is built from.
@@ -184,7 +186,7 @@
 // submit asks for a job's answer, at other entries too when one gives none in time.
 func (x *runner) submit(ctx context.Context, o offer, at time.Time, n int) {
 	patience := time.Duration(o.job.DeadlineMS)*time.Millisecond + time.Second
-	ctx, cancel := context.WithDeadline(ctx, at.Add(2*patience))
+	ctx, cancel := context.WithDeadline(ctx, at.Add(callerPatience*patience))
 	defer cancel()
 	var a client.Answer
 	var err error
--- /dev/null
+++ b/internal/node/loop_test.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/entry"
+	"corianderspur.example/corianderspur/internal/event"
+)
+
+type fakeClock struct {
+	now clock.Millis
+}
+
+func (c *fakeClock) Now() clock.Millis { return c.now }
+
+type fakeMachine struct {
+	handled []event.Event
+}
+
+func (m *fakeMachine) Handle(_ clock.Millis, ev event.Event) []event.Action {
+	m.handled = append(m.handled, ev)
+	return nil
+}
+
+// Input that waited while the process was frozen may be older than ids are remembered: it is not handled.
+func TestThawedProcessDropsOldInput(t *testing.T) {
+	c := &fakeClock{}
+	m := &fakeMachine{}
+	var stale []event.Event
+	thawed := 0
+	l := NewLoop(c, m)
+	l.stale = func(ev event.Event) { stale = append(stale, ev) }
+	l.thaw = func() { thawed++ }
+	l.handleAll([]event.Event{event.Received{From: "e1"}})
+	qt.Assert(t, m.handled, qt.HasLen, 1)
+
+	c.now = StaleGap + 1
+	l.Push(entry.Submit{Ref: 2})
+	l.handleAll([]event.Event{event.Received{From: "e1"}, entry.Submit{Ref: 1}, event.SessionDown{Peer: "e1"}})
+	qt.Check(t, thawed, qt.Equals, 1)
+	qt.Check(t, l.Thawing(), qt.IsTrue)
+	qt.Check(t, stale, qt.DeepEquals, []event.Event{entry.Submit{Ref: 1}, entry.Submit{Ref: 2}})
+	qt.Check(t, m.handled[1:], qt.DeepEquals, []event.Event{event.SessionDown{Peer: "e1"}})
+
+	c.now += thawGrace
+	qt.Check(t, l.Thawing(), qt.IsFalse)
+}
--- a/internal/trial/takeover_test.go
+++ b/internal/trial/takeover_test.go
@@ -243,3 +243,17 @@
 	c.Assert(last.answer, qt.IsNotNil)
 	w.heldAll(c)
 }
+
+// An agent that was struck off a moment ago may not know it and still be current: a takeover waits its lease out.
+func TestTakeoverWaitsAfterStrike(t *testing.T) {
+	c, w := session(t, 2, 2)
+	e1 := w.proc("e1")
+	w.proc("e0").kill()
+	w.run(1500)
+	e1.handle(entry.Strike{Agent: w.proc("a0").id})
+	w.run(2000)
+	c.Check(e1.entryStatus().ShardsTaking, qt.Equals, 2)
+	w.run(lease)
+	c.Check(e1.entryStatus().ShardsTaking, qt.Equals, 0)
+	w.heldAll(c)
+}
