Leave the records of an agent that stops as planned with another agent

Ruled out: marks that expire by time in the directory: clocks do not agree. Change: the stopping agent gives its final records to another agent by way of an entry and is then taken out of the directory without a mark. An agent that is stopping itself takes none. Measured: TestPlannedStopOfAgent: after the stop the owner dies and nothing is unknown; before, its map held a mark.

--- a/internal/agent/lease_controller.go
+++ b/internal/agent/lease_controller.go
@@ -181,11 +181,21 @@
 	}
 }
 
-// Farewell tells every connected entry that this identity will start nothing any more.
-func (c *LeaseController) Farewell() {
+// Peer returns an entry that can be reached, or the empty id.
+func (c *LeaseController) Peer() shard.ID {
+	if len(c.peers) == 0 {
+		return ""
+	}
+	return c.peers[0]
+}
+
+// Farewell tells every connected entry that this identity will start nothing any more, and whether another agent keeps
+// its records.
+func (c *LeaseController) Farewell(handed bool) {
 	for _, peer := range c.peers {
 		p := c.ping(proto.Load{Leaving: true})
 		p.Gone = true
+		p.Handed = handed
 		c.send(peer, proto.Message{Ping: p})
 	}
 	c.joined = false
--- a/internal/agent/lease_controller_test.go
+++ b/internal/agent/lease_controller_test.go
@@ -122,6 +122,23 @@
 	qt.Check(t, m.Status(now).Load.Trial, qt.IsFalse)
 }
 
+// An agent that is stopping itself takes no records into custody: they would be gone with it.
+func TestStoppingAgentTakesNoCustody(t *testing.T) {
+	for _, stopping := range []bool{false, true} {
+		m := serving(t, 1, lease)
+		if stopping {
+			m.Handle(2000, event.Stop{})
+		}
+		taken := false
+		custody := proto.Message{Custody: &proto.Custody{Of: "agent-1/1"}}
+		for _, a := range m.Handle(2001, event.Received{From: owner, Message: custody}) {
+			s, ok := a.(event.Send)
+			taken = taken || (ok && s.Message.Taken != nil)
+		}
+		qt.Check(t, taken, qt.Equals, !stopping)
+	}
+}
+
 // An agent that was struck off takes a new identity and starts nothing under the old one.
 func TestStruckAgentTakesNewIdentity(t *testing.T) {
 	m := serving(t, 1, 1<<40)
--- a/internal/agent/machine.go
+++ b/internal/agent/machine.go
@@ -82,11 +82,24 @@
 	case msg.Fence != nil:
 		m.lease.Raise(msg.Fence)
 		m.records.Report(from, msg.Fence.Shards)
+	case msg.Custody != nil:
+		m.takeCustody(from, msg.Custody)
+	case msg.Taken != nil:
+		m.runs.Taken(msg.Taken)
 	case msg.Check != nil:
 		m.lease.Check(from, msg.Check)
 	}
 }
 
+// takeCustody keeps the records of another agent, unless this one is about to give its own away.
+func (m *Machine) takeCustody(from shard.ID, c *proto.Custody) {
+	if m.runs.stopping {
+		return
+	}
+	m.records.Adopt(c.Records)
+	m.send(from, proto.Message{Taken: &proto.Taken{Of: c.Of}})
+}
+
 // ID returns the present identity of the agent.
 func (m *Machine) ID() shard.ID {
 	return m.id
--- a/internal/agent/record_controller.go
+++ b/internal/agent/record_controller.go
@@ -247,6 +247,32 @@
 	return record
 }
 
+// Export returns all records.
+func (c *RecordController) Export() []proto.ShardRecord {
+	list := make([]proto.ShardRecord, 0, len(c.jobs))
+	for _, r := range c.jobs {
+		list = append(list, proto.ShardRecord{Shard: int(r.shard), Record: r.export()})
+	}
+	slices.SortFunc(list, func(a, b proto.ShardRecord) int { return bytes.Compare(a.Record.Key[:], b.Record.Key[:]) })
+	return list
+}
+
+// Adopt keeps the records of an agent that stops, beside its own.
+func (c *RecordController) Adopt(records []proto.ShardRecord) {
+	for i := range records {
+		x := &records[i]
+		r := c.Open(&proto.Start{Shard: x.Shard, Key: x.Record.Key, Digest: x.Record.Digest})
+		for _, o := range x.Record.Outcomes {
+			if r.task(o.Index) != nil {
+				continue
+			}
+			t := taskRecord{acked: true}
+			t.set(o)
+			r.tasks = append(r.tasks, t)
+		}
+	}
+}
+
 // Tick sends held and unacknowledged outcomes that are due and drops what is older than the retention time.
 func (c *RecordController) Tick() {
 	for _, r := range c.unackedJobs() {
--- a/internal/agent/run_controller.go
+++ b/internal/agent/run_controller.go
@@ -43,6 +43,9 @@
 	stopping  bool
 	stopAt    clock.Millis
 	gone      bool
+	// custodyAt is when another agent was asked to keep the records, or zero.
+	custodyAt clock.Millis
+	handed    bool
 
 	failures int
 	ejected  bool
@@ -372,14 +375,36 @@
 	if !c.stopping || c.gone {
 		return
 	}
-	drained := c.running == 0 && len(c.records.unacked) == 0
-	if drained || c.now-c.stopAt > c.cfg.DrainLimit {
-		c.gone = true
-		c.lease.Farewell()
-		c.emit(event.Exit{})
+	late := c.now-c.stopAt > c.cfg.DrainLimit
+	if !late && (c.running > 0 || len(c.records.unacked) > 0) {
+		return
+	}
+	if !late && c.awaitCustody() {
+		return
 	}
+	c.gone = true
+	c.lease.Farewell(c.handed)
+	c.emit(event.Exit{})
+}
+
+// awaitCustody asks for another agent to keep the records, which are final now, and reports whether to wait for it.
+func (c *RunController) awaitCustody() bool {
+	if c.custodyAt == 0 && c.lease.Peer() != "" {
+		c.custodyAt = c.now
+		c.lease.joined = false
+		c.send(c.lease.Peer(), proto.Message{Custody: &proto.Custody{Of: c.id, Records: c.records.Export()}})
+	}
+	return c.custodyAt != 0 && !c.handed && c.now-c.custodyAt < custodyTimeout
+}
+
+// Taken notes that another agent keeps the records of this one.
+func (c *RunController) Taken(t *proto.Taken) {
+	c.handed = c.handed || (t.Of == c.id && c.running == 0)
 }
 
+// custodyTimeout is the longest wait for another agent to take the records, in milliseconds.
+const custodyTimeout = 2 * clock.Second
+
 func className(urgent bool) string {
 	if urgent {
 		return "urgent"
--- a/internal/entry/agent_controller.go
+++ b/internal/entry/agent_controller.go
@@ -7,10 +7,12 @@
 	"slices"
 	"strings"
 
+	"corianderspur.example/corianderspur/internal/agent"
 	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/event"
 	"corianderspur.example/corianderspur/internal/proto"
 	"corianderspur.example/corianderspur/internal/shard"
+	"corianderspur.example/corianderspur/internal/table"
 	"corianderspur.example/corianderspur/pkg/label"
 )
 
@@ -138,10 +140,37 @@
 	if p.Gone {
 		v.connected = false
 		c.giveUp(v)
-		c.strike(from)
+		c.release(from, p.Handed)
 	}
 }
 
+// release takes an agent that is gone out of the directory; only if its records are lost as well is it struck off.
+func (c *AgentController) release(id shard.ID, handed bool) {
+	if !handed {
+		c.strike(id)
+		return
+	}
+	c.forget(c.byID[id])
+	c.emit(event.TableCall{Call: c.nextCall(), Txn: table.Txn{
+		Writes: []table.Write{{Key: agent.DirPrefix + string(id), Any: true}},
+	}})
+}
+
+// Custody passes the records of an agent that stops to another one.
+func (c *AgentController) Custody(msg *proto.Custody) {
+	for _, v := range c.views {
+		if v.id != msg.Of && v.usable() {
+			c.send(v.id, proto.Message{Custody: msg})
+			return
+		}
+	}
+}
+
+// Taken passes the confirmation back.
+func (c *AgentController) Taken(msg *proto.Taken) {
+	c.send(msg.Of, proto.Message{Taken: msg})
+}
+
 func (c *AgentController) describe(v *agentView, p *proto.Ping) {
 	v.worker = p.Worker
 	v.zone = p.Zone
@@ -426,11 +455,15 @@
 			continue
 		}
 		c.giveUp(v)
-		if c.byWorker[v.worker] == v {
-			delete(c.byWorker, v.worker)
-		}
-		delete(c.byID, l.Agent)
-		c.views = slices.DeleteFunc(c.views, func(x *agentView) bool { return x == v })
+		c.forget(v)
+	}
+}
+
+func (c *AgentController) forget(v *agentView) {
+	if c.byWorker[v.worker] == v {
+		delete(c.byWorker, v.worker)
 	}
+	delete(c.byID, v.id)
+	c.views = slices.DeleteFunc(c.views, func(x *agentView) bool { return x == v })
 	clear(c.eligible)
 }
--- a/internal/entry/machine.go
+++ b/internal/entry/machine.go
@@ -176,6 +176,10 @@
 	case msg.Beat != nil:
 		m.config.Adopt(msg.Beat.Config)
 		m.maps.Beat(from, msg.Beat)
+	case msg.Custody != nil:
+		m.agents.Custody(msg.Custody)
+	case msg.Taken != nil:
+		m.agents.Taken(msg.Taken)
 	case msg.Checked != nil:
 		m.checks.Checked(from, msg.Checked)
 	case msg.Fenced != nil:
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -27,6 +27,8 @@
 	Handovers *Handovers `cbor:"handovers,omitempty"`
 	Check     *Check     `cbor:"check,omitempty"`
 	Checked   *Checked   `cbor:"checked,omitempty"`
+	Custody   *Custody   `cbor:"custody,omitempty"`
+	Taken     *Taken     `cbor:"taken,omitempty"`
 }
 
 // Role says what kind of process sent a Hello.
@@ -69,6 +71,8 @@
 	Labels        label.Set    `cbor:"labels,omitempty"`
 	Load          Load         `cbor:"load"`
 	Gone          bool         `cbor:"gone,omitempty"`
+	// Handed says that another agent keeps the records of the one that is gone.
+	Handed bool `cbor:"handed,omitempty"`
 }
 
 // Pong answers a Ping and repeats its Sent time; the map is included only when the agent's is older.
@@ -360,6 +364,10 @@
 		return "check"
 	case m.Checked != nil:
 		return "checked"
+	case m.Custody != nil:
+		return "custody"
+	case m.Taken != nil:
+		return "taken"
 	}
 	return "empty"
 }
@@ -369,3 +377,20 @@
 	return m.Forward != nil || m.Answer != nil || m.Start != nil || m.Result != nil || m.Revoke != nil ||
 		m.Cancel != nil || m.Check != nil || m.Checked != nil
 }
+
+// Custody gives the records of an agent that stops as planned to another agent, by way of an entry.
+type Custody struct {
+	Of      shard.ID      `cbor:"of"`
+	Records []ShardRecord `cbor:"records,omitempty"`
+}
+
+// ShardRecord is a record with the shard of its job.
+type ShardRecord struct {
+	Shard  int    `cbor:"shard"`
+	Record Record `cbor:"record"`
+}
+
+// Taken confirms that an agent keeps the records of another.
+type Taken struct {
+	Of shard.ID `cbor:"of"`
+}
--- a/internal/trial/stop_test.go
+++ b/internal/trial/stop_test.go
@@ -73,7 +73,8 @@
 	c.Assert(w.lastRun["a0"] <= left+10, qt.IsTrue)
 }
 
-// An agent that is stopped as planned finishes what it runs, gives back what it has queued, and is taken out.
+// An agent that is stopped as planned finishes what it runs, gives back what it has queued, and leaves its records with
+// another agent: an owner that dies afterwards leaves nothing unknown.
 func TestPlannedStopOfAgent(t *testing.T) {
 	c, w := session(t, 2, 2)
 	e0 := w.proc("e0")
@@ -83,9 +84,15 @@
 	w.run(5000)
 	c.Assert(w.proc("a0").exited, qt.IsTrue)
 	c.Assert(answer.status(), qt.Equals, proto.StatusComplete)
-	c.Assert(len(e0.machine.(*entry.Machine).Map().Lost), qt.Equals, 1)
-	w.judge()
-	c.Assert(w.faults, qt.HasLen, 0)
+	c.Assert(e0.machine.(*entry.Machine).Map().Lost, qt.HasLen, 0)
+	e0.kill()
+	w.run(lease)
+	again := w.submit(w.proc("e1"), answer.job)
+	fresh := w.submit(w.proc("e1"), order("after the stop", 50))
+	w.run(2000)
+	c.Assert(again.status(), qt.Equals, proto.StatusComplete)
+	c.Assert(fresh.status(), qt.Equals, proto.StatusComplete)
+	w.heldAll(c)
 }
 
 const lease = 3 * clock.Second
