--- a/internal/agent/record_controller.go
+++ b/internal/agent/record_controller.go
@@ -6,6 +6,7 @@
 
 	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/proto"
+	"corianderspur.example/corianderspur/internal/queue"
 	"corianderspur.example/corianderspur/internal/shard"
 )
 
@@ -72,11 +73,6 @@
 	return nil
 }
 
-type due struct {
-	key   shard.Key
-	since clock.Millis
-}
-
 type kept struct {
 	key   shard.Key
 	index int
@@ -89,7 +85,7 @@
 	lease     *LeaseController
 	jobs      map[shard.Key]*jobRecord
 	unacked   map[shard.Key]struct{}
-	expiry    []due
+	expiry    queue.Expiry[shard.Key]
 	outputs   []kept
 	keptBytes int
 	load      func() proto.Load
@@ -109,7 +105,7 @@
 	if r == nil {
 		r = &jobRecord{key: s.Key, shard: int32(s.Shard), digest: s.Digest, tasks: make([]taskRecord, 0, len(s.Items))}
 		c.jobs[s.Key] = r
-		c.expiry = append(c.expiry, due{key: s.Key, since: c.now})
+		c.expiry.Add(s.Key, c.now)
 	}
 	r.touched = c.now
 	return r
@@ -308,14 +304,13 @@
 		return
 	}
 	retention := c.lease.m.Terms.Retention
-	for len(c.expiry) > 0 && c.now-c.expiry[0].since >= retention {
-		r := c.jobs[c.expiry[0].key]
-		c.expiry = c.expiry[1:]
+	for key, ok := c.expiry.Next(c.now - retention); ok; key, ok = c.expiry.Next(c.now - retention) {
+		r := c.jobs[key]
 		if r.active > 0 || c.now-r.touched < retention {
-			c.expiry = append(c.expiry, due{key: r.key, since: max(r.touched, c.now-retention/2)})
+			c.expiry.Add(key, max(r.touched, c.now-retention/2))
 			continue
 		}
-		delete(c.jobs, r.key)
-		delete(c.unacked, r.key)
+		delete(c.jobs, key)
+		delete(c.unacked, key)
 	}
 }
--- a/internal/entry/job_controller.go
+++ b/internal/entry/job_controller.go
@@ -1,12 +1,12 @@
 package entry
 
 import (
-	"bytes"
 	"slices"
 
 	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/event"
 	"corianderspur.example/corianderspur/internal/proto"
+	"corianderspur.example/corianderspur/internal/queue"
 	"corianderspur.example/corianderspur/internal/shard"
 )
 
@@ -16,11 +16,6 @@
 	until   clock.Millis
 }
 
-type dueJob struct {
-	key   shard.Key
-	since clock.Millis
-}
-
 // JobController keeps the jobs of the shards that this entry owns from their admission to the end of the retention time.
 type JobController struct {
 	*common
@@ -34,7 +29,7 @@
 	jobs     map[shard.Key]*job
 	live     []*job
 	parked   []parkedForward
-	expiry   []dueJob
+	expiry   queue.Expiry[shard.Key]
 	// deliver passes an answer to the entry that waits for it.
 	deliver func(to shard.ID, a *proto.Answer)
 }
@@ -143,17 +138,6 @@
 	c.verdict(to, a)
 }
 
-func (c *JobController) add(key shard.Key, number int, digest uint64) *job {
-	j := &job{key: key, shard: number, digest: digest, touched: c.now}
-	c.jobs[key] = j
-	c.expiry = append(c.expiry, dueJob{key: key, since: c.now})
-	return j
-}
-
-func (c *JobController) touch(j *job) {
-	j.touched = c.now
-}
-
 // begin queues what provably did not start and takes what agents have already done.
 func (c *JobController) begin(j *job, state *shardState) {
 	j.left = len(j.tasks)
@@ -199,138 +183,6 @@
 	return true
 }
 
-// Result takes outcomes from an agent and acknowledges them.
-func (c *JobController) Result(from shard.ID, r *proto.Result) {
-	if v := c.agents.byID[from]; v != nil {
-		c.agents.Report(v, r.Load)
-	}
-	s := c.shards.Held(r.Shard)
-	if s == nil {
-		return
-	}
-	c.take(s, from, r.Key, r.Digest, r.Outcomes, false)
-}
-
-// Records takes what an agent holds of a shard and requeues what it was sent and never got.
-func (c *JobController) Records(s *shardState, from shard.ID, records []proto.Record) {
-	held := make(map[shard.Key][]proto.Outcome, len(records))
-	for _, r := range records {
-		held[r.Key] = r.Outcomes
-		c.take(s, from, r.Key, r.Digest, r.Outcomes, true)
-	}
-	for _, j := range slices.Clone(c.live) {
-		if j.shard == s.number && j.live() {
-			c.requeueMissing(j, from, held[j.key])
-		}
-	}
-}
-
-func (c *JobController) requeueMissing(j *job, from shard.ID, held []proto.Outcome) {
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		known := slices.ContainsFunc(held, func(o proto.Outcome) bool { return o.Index == i })
-		if t.state == taskSent && t.imported && base(t.agent) == base(from) && !known {
-			t.state = taskPending
-			t.tries--
-			c.dispatch.Queue(j, i)
-		}
-	}
-}
-
-// take applies outcomes of one job, from a result or from an answer to a fence, and acknowledges the final ones.
-func (c *JobController) take(s *shardState, from shard.ID, key shard.Key, digest uint64, outcomes []proto.Outcome, fence bool) {
-	j := c.jobs[key]
-	if j == nil {
-		j = c.add(key, s.number, digest)
-	}
-	ack := &proto.Ack{Key: key}
-	for i := range outcomes {
-		o := &outcomes[i]
-		if !c.apply(j, from, o) && !fence {
-			c.emit(event.Note{Name: "message_wasted", Reason: "doubled", Quiet: true})
-		}
-		if o.State >= proto.StateDone {
-			ack.Indexes = append(ack.Indexes, o.Index)
-		}
-	}
-	if len(ack.Indexes) > 0 {
-		c.sendLazy(from, proto.Message{Ack: ack})
-	}
-}
-
-// apply brings what is known of a task up to date with one outcome and reports whether it told anything new.
-func (c *JobController) apply(j *job, from shard.ID, o *proto.Outcome) bool {
-	t := j.task(o.Index)
-	if t == nil || t.state == taskDone {
-		return false
-	}
-	expected := t.state == taskSent && base(t.agent) == base(from)
-	if expected && o.State >= proto.StateDone {
-		c.agents.Ended(from, j.kind(), o)
-	}
-	if o.State == proto.StateRefused {
-		c.applyRefusal(j, t, o, expected)
-		return true
-	}
-	if t.state == taskSent && !expected && o.State != proto.StateDone {
-		return false
-	}
-	t.attempt = max(t.attempt, o.Attempt)
-	if !expected {
-		t.tries = max(t.tries, o.Attempt)
-	}
-	t.agent = from
-	t.imported = false
-	t.state = remember(o)
-	t.output = o.Output
-	t.dropped = o.Dropped
-	if !j.live() {
-		return true
-	}
-	switch t.state {
-	case taskDone:
-		c.taskDone(j, t)
-	case taskFailed:
-		c.taskFailed(j, o.Index, t)
-	}
-	return true
-}
-
-func (c *JobController) applyRefusal(j *job, t *task, o *proto.Outcome, expected bool) {
-	if !expected || o.Attempt < t.attempt {
-		t.attempt = max(t.attempt, o.Attempt)
-		return
-	}
-	t.attempt = o.Attempt
-	t.tries--
-	t.passed++
-	t.state = taskPending
-	c.emit(event.Note{Name: "message_wasted", Reason: string(o.Refusal), Quiet: true})
-	if j.live() {
-		c.dispatch.Queue(j, o.Index)
-	}
-}
-
-func (c *JobController) taskDone(j *job, t *task) {
-	if t.dropped {
-		c.fail(j, proto.ReasonLost)
-		return
-	}
-	j.left--
-	if j.left == 0 {
-		c.complete(j)
-	}
-}
-
-func (c *JobController) taskFailed(j *job, index int, t *task) {
-	if c.mayRepeat(j, t) && c.dispatch.SpendRetry() {
-		c.emit(event.Note{Name: "task_retried", Job: j.id(), Count: t.attempt})
-		c.dispatch.Queue(j, index)
-		return
-	}
-	c.fail(j, proto.ReasonTaskFailed)
-}
-
 func (c *JobController) complete(j *job) {
 	results := make([][]byte, len(j.tasks))
 	for i := range j.tasks {
@@ -442,54 +294,6 @@
 	c.fail(j, proto.ReasonCancelled)
 }
 
-// AgentLost gives up what was sent to an agent: repeatable tasks are sent elsewhere, other jobs fail.
-func (c *JobController) AgentLost(id shard.ID) {
-	for _, j := range slices.Clone(c.live) {
-		if !j.live() {
-			continue
-		}
-		for i := range j.tasks {
-			t := &j.tasks[i]
-			if t.state != taskSent || t.agent != id || !j.live() {
-				continue
-			}
-			if c.mayRepeat(j, t) && c.dispatch.SpendRetry() {
-				t.state = taskPending
-				c.dispatch.Queue(j, i)
-				continue
-			}
-			c.fail(j, proto.ReasonLost)
-		}
-	}
-}
-
-// AgentRenamed follows an agent that goes on under a new identity.
-func (c *JobController) AgentRenamed(from, to shard.ID) {
-	for _, j := range c.live {
-		for i := range j.tasks {
-			if j.tasks[i].state == taskSent && j.tasks[i].agent == from {
-				j.tasks[i].agent = to
-			}
-		}
-	}
-}
-
-// Resend repeats the starts that an agent has not answered, after its session was opened anew; what a former owner sent
-// is left to the fence, which tells whether it arrived.
-func (c *JobController) Resend(id shard.ID) {
-	for _, j := range c.live {
-		if !j.live() || c.shards.Owned(j.shard) == nil {
-			continue
-		}
-		for i := range j.tasks {
-			t := &j.tasks[i]
-			if t.state == taskSent && t.agent == id && !t.imported {
-				c.dispatch.Repeat(j, i)
-			}
-		}
-	}
-}
-
 // Tick ends jobs whose deadline has passed and forgets what is older than the retention time.
 func (c *JobController) Tick() {
 	kept := c.live[:0]
@@ -507,25 +311,6 @@
 	c.expire()
 }
 
-func (c *JobController) expire() {
-	if c.maps.m == nil {
-		return
-	}
-	retention := c.maps.m.Terms.Retention
-	for len(c.expiry) > 0 && c.now-c.expiry[0].since >= retention {
-		j := c.jobs[c.expiry[0].key]
-		c.expiry = c.expiry[1:]
-		if j == nil {
-			continue
-		}
-		if j.live() || c.now-j.touched < retention {
-			c.expiry = append(c.expiry, dueJob{key: j.key, since: max(j.touched, c.now-retention/2)})
-			continue
-		}
-		delete(c.jobs, j.key)
-	}
-}
-
 // Unpark takes up jobs that waited for a shard to be owned; those of other owners are dropped.
 func (c *JobController) Unpark() {
 	parked := c.parked
@@ -537,78 +322,3 @@
 		}
 	}
 }
-
-// Freeze stops all work on the jobs of a shard that was given away; their memory is kept for the new owner.
-func (c *JobController) Freeze(number int) {
-	for _, j := range c.live {
-		if j.shard == number {
-			j.frozen = true
-			j.waiters = nil
-		}
-	}
-}
-
-// Forget drops the memory of a shard before it is taken over anew.
-func (c *JobController) Forget(number int) {
-	for key, j := range c.jobs {
-		if j.shard == number {
-			j.frozen = true
-			delete(c.jobs, key)
-		}
-	}
-}
-
-// Export returns the memory of a shard in ascending order of keys.
-func (c *JobController) Export(number int) []proto.JobMemory {
-	var list []proto.JobMemory
-	for _, j := range c.jobs {
-		if j.shard != number {
-			continue
-		}
-		memory := proto.JobMemory{Key: j.key, Digest: j.digest, Age: c.now - j.touched, Answer: j.answer}
-		for _, t := range j.tasks {
-			memory.Tasks = append(memory.Tasks, t.export())
-		}
-		list = append(list, memory)
-	}
-	slices.SortFunc(list, func(a, b proto.JobMemory) int { return bytes.Compare(a.Key[:], b.Key[:]) })
-	return list
-}
-
-func (t *task) export() proto.TaskMemory {
-	m := proto.TaskMemory{Agent: t.agent, Attempt: t.attempt, Output: t.output}
-	switch t.state {
-	case taskSent:
-		m.State = proto.StateRunning
-	case taskDone:
-		m.State = proto.StateDone
-	case taskFailed:
-		m.State = proto.StateFailed
-	}
-	return m
-}
-
-// Import adds the memory of a former owner.
-func (c *JobController) Import(list []proto.JobMemory) {
-	for _, memory := range list {
-		j := c.jobs[memory.Key]
-		if j == nil {
-			j = c.add(memory.Key, c.maps.m.Of(memory.Key), memory.Digest)
-		}
-		j.answer = memory.Answer
-		for i, m := range memory.Tasks {
-			t := j.task(i)
-			if t == nil || t.state == taskDone {
-				continue
-			}
-			t.agent = m.Agent
-			t.attempt = max(t.attempt, m.Attempt)
-			t.tries = max(t.tries, m.Attempt)
-			t.output = m.Output
-			if m.State != 0 {
-				t.state = remember(&proto.Outcome{State: m.State})
-				t.imported = t.state == taskSent
-			}
-		}
-	}
-}
--- /dev/null
+++ b/internal/entry/job_memory.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"bytes"
+	"slices"
+
+	"corianderspur.example/corianderspur/internal/proto"
+	"corianderspur.example/corianderspur/internal/shard"
+)
+
+func (c *JobController) add(key shard.Key, number int, digest uint64) *job {
+	j := &job{key: key, shard: number, digest: digest, touched: c.now}
+	c.jobs[key] = j
+	c.expiry.Add(key, c.now)
+	return j
+}
+
+func (c *JobController) touch(j *job) {
+	j.touched = c.now
+}
+
+func (c *JobController) expire() {
+	if c.maps.m == nil {
+		return
+	}
+	retention := c.maps.m.Terms.Retention
+	for key, ok := c.expiry.Next(c.now - retention); ok; key, ok = c.expiry.Next(c.now - retention) {
+		j := c.jobs[key]
+		switch {
+		case j == nil:
+		case j.live() || c.now-j.touched < retention:
+			c.expiry.Add(key, max(j.touched, c.now-retention/2))
+		default:
+			delete(c.jobs, key)
+		}
+	}
+}
+
+// Freeze stops all work on the jobs of a shard that was given away; their memory is kept for the new owner.
+func (c *JobController) Freeze(number int) {
+	for _, j := range c.live {
+		if j.shard == number {
+			j.frozen = true
+			j.waiters = nil
+		}
+	}
+}
+
+// Forget drops the memory of a shard before it is taken over anew.
+func (c *JobController) Forget(number int) {
+	for key, j := range c.jobs {
+		if j.shard == number {
+			j.frozen = true
+			delete(c.jobs, key)
+		}
+	}
+}
+
+// Export returns the memory of a shard in ascending order of keys.
+func (c *JobController) Export(number int) []proto.JobMemory {
+	var list []proto.JobMemory
+	for _, j := range c.jobs {
+		if j.shard != number {
+			continue
+		}
+		memory := proto.JobMemory{Key: j.key, Digest: j.digest, Age: c.now - j.touched, Answer: j.answer}
+		for _, t := range j.tasks {
+			memory.Tasks = append(memory.Tasks, t.export())
+		}
+		list = append(list, memory)
+	}
+	slices.SortFunc(list, func(a, b proto.JobMemory) int { return bytes.Compare(a.Key[:], b.Key[:]) })
+	return list
+}
+
+func (t *task) export() proto.TaskMemory {
+	m := proto.TaskMemory{Agent: t.agent, Attempt: t.attempt, Output: t.output}
+	switch t.state {
+	case taskSent:
+		m.State = proto.StateRunning
+	case taskDone:
+		m.State = proto.StateDone
+	case taskFailed:
+		m.State = proto.StateFailed
+	}
+	return m
+}
+
+// Import adds the memory of a former owner.
+func (c *JobController) Import(list []proto.JobMemory) {
+	for _, memory := range list {
+		j := c.jobs[memory.Key]
+		if j == nil {
+			j = c.add(memory.Key, c.maps.m.Of(memory.Key), memory.Digest)
+		}
+		j.answer = memory.Answer
+		for i, m := range memory.Tasks {
+			t := j.task(i)
+			if t == nil || t.state == taskDone {
+				continue
+			}
+			t.agent = m.Agent
+			t.attempt = max(t.attempt, m.Attempt)
+			t.tries = max(t.tries, m.Attempt)
+			t.output = m.Output
+			if m.State != 0 {
+				t.state = remember(&proto.Outcome{State: m.State})
+				t.imported = t.state == taskSent
+			}
+		}
+	}
+}
