--- a/internal/agent/lease_controller_test.go
+++ b/internal/agent/lease_controller_test.go
@@ -146,6 +146,27 @@
 	}
 }
 
+// Records of one task may come from several agents: that it was refused at one must not hide that it ran at another.
+func TestCustodyKeepsWhatRan(t *testing.T) {
+	key := shard.NewKey("shops", "order")
+	refused := proto.Outcome{Attempt: 1, State: proto.StateRefused, Refusal: proto.ReasonStopping}
+	done := proto.Outcome{Attempt: 2, State: proto.StateDone, Output: []byte("x")}
+	for _, order := range [][]proto.Outcome{{refused, done}, {done, refused}} {
+		m := serving(t, 1, lease)
+		for i, o := range order {
+			m.Handle(clock.Millis(2000+i), event.Received{From: owner, Message: proto.Message{Custody: &proto.Custody{
+				Records: []proto.ShardRecord{{Shard: 1, Record: proto.Record{Key: key, Outcomes: []proto.Outcome{o}}}},
+			}}})
+		}
+		fence := proto.Message{Fence: &proto.Fence{Shards: []proto.ShardEpoch{{Shard: 1, Epoch: 2}}}}
+		for _, a := range m.Handle(2002, event.Received{From: owner, Message: fence}) {
+			if s, ok := a.(event.Send); ok && s.Message.Fenced != nil {
+				qt.Check(t, s.Message.Fenced.Records[0].Outcomes, qt.DeepEquals, []proto.Outcome{done})
+			}
+		}
+	}
+}
+
 // An agent that was struck off takes a new identity and starts nothing under the old one.
 func TestStruckAgentTakesNewIdentity(t *testing.T) {
 	m := serving(t, 1, 1<<40)
--- a/internal/agent/record_controller.go
+++ b/internal/agent/record_controller.go
@@ -259,16 +259,32 @@
 		x := &records[i]
 		r := c.Open(&proto.Start{Shard: x.Shard, Key: x.Record.Key, Digest: x.Record.Digest})
 		for _, o := range x.Record.Outcomes {
-			if r.task(o.Index) != nil {
-				continue
-			}
-			t := taskRecord{acked: true}
-			t.set(o)
-			r.tasks = append(r.tasks, t)
+			r.merge(o)
 		}
 	}
 }
 
+// merge adds what another agent knew of a task: that it ran goes before that it was refused.
+func (r *jobRecord) merge(o proto.Outcome) {
+	t := r.task(o.Index)
+	if t == nil {
+		r.tasks = append(r.tasks, taskRecord{acked: true})
+		t = &r.tasks[len(r.tasks)-1]
+		t.set(o)
+		return
+	}
+	attempt := max(o.Attempt, int(t.attempt))
+	known := proto.State(t.state)
+	ran := known == proto.StateFailed && o.State == proto.StateDone
+	if ran || (known == proto.StateRefused && o.State != proto.StateRefused) {
+		t.set(o)
+		t.acked = true
+	}
+	if t.final() {
+		t.attempt = int32(attempt)
+	}
+}
+
 // Tick sends held and unacknowledged outcomes that are due and drops what is older than the retention time.
 func (c *RecordController) Tick() {
 	for _, r := range c.unackedJobs() {
--- a/internal/entry/config_controller.go
+++ b/internal/entry/config_controller.go
@@ -18,6 +18,8 @@
 	ConfigKey    = "config"
 	ChangePrefix = "change/"
 	applyTries   = 5
+	// documentGrace is the time that other entries have to learn of a change elsewhere, in milliseconds.
+	documentGrace = clock.Second
 )
 
 // ErrTableDown tells an operator that it is not known whether a change was made.
@@ -33,8 +35,11 @@
 // ConfigController holds the operators' configuration and never goes back to a lower version.
 type ConfigController struct {
 	*common
-	policy  *policy.Policy
-	since   clock.Millis
+	policy *policy.Policy
+	since  clock.Millis
+	// made says that the change to the present version was made here, making is the version being written here.
+	made    bool
+	making  uint64
 	changes []*change
 	// onPolicy is called after each adoption.
 	onPolicy func()
@@ -54,10 +59,11 @@
 	return c.policy.Document.Version
 }
 
-// Complete adds the configuration's version to a heartbeat, and the document if the receiver's is older.
+// Complete adds the configuration's version to a heartbeat, and the document if the receiver's is older: at once if the
+// change was made here, else only if the receiver did not learn of it elsewhere meanwhile.
 func (c *ConfigController) Complete(p *peer, b *proto.Beat) {
 	b.ConfigVersion = c.Version()
-	if p.configVersion < b.ConfigVersion {
+	if p.configVersion < b.ConfigVersion && (c.made || c.now-c.since >= documentGrace) {
 		b.Config = c.policy.Document
 	}
 }
@@ -88,6 +94,7 @@
 	}
 	c.policy = p
 	c.since = c.now
+	c.made = d.Version == c.making
 	c.emit(event.Note{Name: "configuration_adopted", Version: d.Version})
 	c.onPolicy()
 }
@@ -180,6 +187,7 @@
 		return true
 	}
 	ch.next = &next
+	c.making = next.Version
 	ch.call = c.nextCall()
 	c.emit(event.TableCall{Call: ch.call, Txn: table.Txn{Writes: []table.Write{
 		{Key: ConfigKey, IfVersion: ch.apply.Base, Value: value},
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -29,8 +29,14 @@
   esac
 }
 [ -z "${EVENT:-}" ] || event "$EVENT" &
+spent() { for name in "$@"; do awk '{print $14 + $15}' "/proc/${PIDS[$name]}/stat" 2>/dev/null; done | awk '{n += $1} END {print n}'; }
+AGENT_NAMES=$(for i in $(seq 0 $((AGENTS - 1))); do echo "agent-$i"; done)
+# shellcheck disable=SC2086
+BEFORE_ENTRIES=$(spent entry-0 entry-1 entry-2) BEFORE_AGENTS=$(spent $AGENT_NAMES)
 # shellcheck disable=SC2046
 load "$SECONDS_OF_LOAD" "$SHARE" $(entry_flags 0 1 2) --quiet "$@"
+# shellcheck disable=SC2086
+echo "processor time: $(($(spent entry-0 entry-1 entry-2) - BEFORE_ENTRIES)) ticks of entries, $(($(spent $AGENT_NAMES) - BEFORE_AGENTS)) of agents, $(getconf CLK_TCK) ticks a second"
 if [ "${EVENT:-}" = leave ]; then
   last=$(curl -fsS "http://$(backend_addr 0)/starts" | grep -o '"last_start_unix_ms":[0-9]*' | cut -d: -f2)
   echo "last start $((last - $(cat "$RUN/left"))) ms after the backend server said that it leaves"
