--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -3,12 +3,15 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-faster/errors"
 
 	"corianderspur.example/corianderspur/internal/stand"
 )
@@ -21,6 +24,9 @@
 	backendAddr := backendCmd.Flag("addr", "IP address and port to serve at.").Required().String()
 	agentAddr := backendCmd.Flag("agent", "IP address and port of the agent to announce to.").Required().String()
 	slots := backendCmd.Flag("slots", "Tasks to run at once.").Default("8").Int()
+	askCmd := app.Command("ask", "Send a request, print the body of the response and fail unless it is a success.")
+	askURL := askCmd.Arg("url", "Where to send the request.").Required().String()
+	askBody := askCmd.Flag("post", "Body of a POST; without it the request is a GET.").String()
 	command := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -31,9 +37,35 @@
 		b := stand.NewBackend(*backendAddr, *agentAddr, *slots)
 		go b.Announce(ctx)
 		serve(ctx, app, *backendAddr, b.Handler())
+	case askCmd.FullCommand():
+		app.FatalIfError(ask(ctx, *askURL, *askBody), "ask %s", *askURL)
 	}
 }
 
+// ask sends a request and copies the body of the response to standard output.
+func ask(ctx context.Context, url, body string) error {
+	method := http.MethodGet
+	if body != "" {
+		method = http.MethodPost
+	}
+	r, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	w, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer w.Body.Close()
+	if _, err := io.Copy(os.Stdout, w.Body); err != nil {
+		return err
+	}
+	if w.StatusCode >= http.StatusBadRequest {
+		return errors.New(w.Status)
+	}
+	return nil
+}
+
 func serve(ctx context.Context, app *kingpin.Application, addr string, h http.Handler) {
 	server := &http.Server{Addr: addr, Handler: h}
 	go func() {
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,8 +1,11 @@
 #!/usr/bin/env bash
-# Measures what control costs idle processes: capacity.sh SECONDS, for several numbers of entries and of agents.
+# Measures what control costs idle processes, for several numbers of entries and of agents:
+# capacity.sh [SECONDS ["ENTRIES AGENTS"]...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 PERIOD=${1:-15}
+shift $(($# > 0 ? 1 : 0))
+[ $# -gt 0 ] || set -- "3 2" "10 2" "40 2" "3 11" "3 40" "3 120" "10 60"
 TICKS=$(getconf CLK_TCK)
 
 # cost NAME ADMIN_ADDR: processor time used so far (ticks), resident memory (KiB) and bytes sent and received so far
@@ -10,7 +13,7 @@
   local pid=${PIDS[$1]}
   awk '{print $14 + $15}' "/proc/$pid/stat"
   awk '/VmRSS/ {print $2}' "/proc/$pid/status"
-  curl -fsS "http://$2/metrics" | awk '/^corianderspur_frame_bytes/ {n += $NF} END {printf "%.0f\n", n}'
+  ask "http://$2/metrics" | awk '/^corianderspur_frame_bytes/ {n += $NF} END {printf "%.0f\n", n}'
 }
 
 # report LABEL NAME ADMIN_ADDR: what one process costs over the period
@@ -25,7 +28,7 @@
 }
 
 # shellcheck disable=SC2030,SC2031
-for size in "3 2" "10 2" "40 2" "3 11" "3 40" "3 120"; do
+for size in "$@"; do
   (
     read -r ENTRIES AGENTS <<<"$size"
     RUN=run/capacity
--- a/scripts/chaos.sh
+++ b/scripts/chaos.sh
@@ -15,7 +15,7 @@
 # shellcheck disable=SC2046
 load "$SECONDS_OF_LOAD" 0.5 $(entry_flags 0 1 2) --resubmit 0.2 --seed "${2:-1}" --quiet >"$RUN/report.txt" 2>&1 &
 LOAD=$!
-fault() { curl -fsS -X POST -d "$1" "http://$TABLE/fault"; }
+fault() { ask "http://$TABLE/fault" --post "$1"; }
 thaw_later() { (sleep "$2" && kill -CONT "$1" 2>/dev/null) & }
 
 break_something() {
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -29,6 +29,9 @@
 backend_addr() { echo "127.0.0.1:$((BASE + 1200 + $1))"; }
 zone() { echo "${ZONES[$(($1 % ${#ZONES[@]}))]}"; }
 
+# ask URL [--post BODY]: sends a request and prints the response
+ask() { "$BIN/standin" ask "$@"; }
+
 # start NAME COMMAND...: runs a process in the background with its log in $RUN/NAME.log
 start() {
   local name=$1
@@ -77,7 +80,7 @@
 # await_ready N: waits until entry N would serve a request, for half a minute at most
 await_ready() {
   for _ in $(seq 300); do
-    curl -fsS -o /dev/null "http://$(admin_addr "$1")/readyz" 2>/dev/null && return 0
+    ask "http://$(admin_addr "$1")/readyz" >/dev/null 2>&1 && return 0
     sleep 0.1
   done
   echo "entry-$1 did not become ready" >&2
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -16,7 +16,7 @@
 sleep 1
 await_settled 0
 echo "-- $DEPLOYMENT $POLICY ${EVENT:-}"
-control() { curl -fsS -X POST -d "$2" "http://$(backend_addr "$1")/control"; }
+control() { ask "http://$(backend_addr "$1")/control" --post "$2"; }
 event() {
   sleep 4
   case $1 in
@@ -24,7 +24,7 @@
     slow) control 0 '{"slow":5}' ;;
     freeze) control 0 '{"freeze":true}' ;;
     leave) control 0 '{"leave":true}'; date +%s%3N >"$RUN/left" ;;
-    outage) curl -fsS -X POST -d '{"down":true}' "http://$TABLE/fault" ;;
+    outage) ask "http://$TABLE/fault" --post '{"down":true}'  ;;
     kill) signal entry-2 KILL ;;
   esac
 }
@@ -38,6 +38,6 @@
 # shellcheck disable=SC2086
 echo "processor time: $(($(spent entry-0 entry-1 entry-2) - BEFORE_ENTRIES)) ticks of entries, $(($(spent $AGENT_NAMES) - BEFORE_AGENTS)) of agents, $(getconf CLK_TCK) ticks a second"
 if [ "${EVENT:-}" = leave ]; then
-  last=$(curl -fsS "http://$(backend_addr 0)/starts" | grep -o '"last_start_unix_ms":[0-9]*' | cut -d: -f2)
+  last=$(ask "http://$(backend_addr 0)/starts" | grep -o '"last_start_unix_ms":[0-9]*' | cut -d: -f2)
   echo "last start $((last - $(cat "$RUN/left"))) ms after the backend server said that it leaves"
 fi
