--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,58 @@
+package mesh_test
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"corianderspur.example/corianderspur/internal/event"
+	"corianderspur.example/corianderspur/internal/mesh"
+	"corianderspur.example/corianderspur/internal/proto"
+	"corianderspur.example/corianderspur/internal/shard"
+)
+
+// inbox passes events to the test.
+type inbox struct {
+	events chan event.Event
+}
+
+func (b *inbox) Push(ev event.Event) { b.events <- ev }
+
+func (b *inbox) Ready() {}
+
+func newMesh(id shard.ID, role proto.Role) (*mesh.Mesh, *inbox) {
+	b := &inbox{events: make(chan event.Event, 100)}
+	return mesh.New(mesh.Config{ID: id, Role: role, Inbox: b}), b
+}
+
+// Two processes open a session, exchange messages in order, reset it, and open another; nothing is left running.
+func TestSession(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := qt.New(t)
+	entry, atEntry := newMesh("entry-0/1", proto.RoleEntry)
+	server := httptest.NewServer(entry)
+	defer server.Close()
+	agent, atAgent := newMesh("agent-0/1", proto.RoleAgent)
+	agent.Connect([]shard.Member{{ID: "entry-0/1", Addr: server.Listener.Addr().String()}})
+
+	c.Assert(<-atEntry.events, qt.Equals, event.SessionUp{Peer: "agent-0/1", Role: proto.RoleAgent})
+	c.Assert(<-atAgent.events, qt.Equals, event.SessionUp{Peer: "entry-0/1", Role: proto.RoleEntry})
+	agent.Send("entry-0/1", proto.Message{Ping: &proto.Ping{Sent: 1}}, true)
+	agent.Send("entry-0/1", proto.Message{Ping: &proto.Ping{Sent: 2}}, false)
+	for want := range 2 {
+		got := (<-atEntry.events).(event.Received)
+		c.Check(got.From, qt.Equals, shard.ID("agent-0/1"))
+		c.Check(int(got.Message.Ping.Sent), qt.Equals, want+1)
+	}
+	entry.Send("agent-0/1", proto.Message{Pong: &proto.Pong{Sent: 2}}, false)
+	c.Assert((<-atAgent.events).(event.Received).Message.Pong, qt.IsNotNil)
+
+	agent.Reset("agent-0/1.1")
+	c.Assert(<-atAgent.events, qt.Equals, event.SessionDown{Peer: "entry-0/1"})
+	c.Assert(<-atEntry.events, qt.Equals, event.SessionDown{Peer: "agent-0/1"})
+	c.Assert(<-atEntry.events, qt.Equals, event.SessionUp{Peer: "agent-0/1.1", Role: proto.RoleAgent})
+	agent.Close()
+	entry.Close()
+}
