--- a/internal/entry/agent_choice.go
+++ b/internal/entry/agent_choice.go
@@ -110,7 +110,7 @@
 	if urgent {
 		return c.free(v, true) > -1
 	}
-	return c.free(v, false)-float64(p.Reserve(v)) >= 0.5-float64(c.cfg.SendAhead)
+	return c.free(v, false)-float64(p.Reserve(v)) >= 1-float64(c.cfg.SendAhead)
 }
 
 // score orders agents by the wait to expect at them; the front goes first or last, and the entry's own availability zone
