Send agents whose lease has lapsed only what may be repeated

Ruled out: longer pauses after a refusal: they also delay the first start after the outage. Change: agents tell when their lease lapses and when it is renewed.

--- a/internal/agent/run_controller.go
+++ b/internal/agent/run_controller.go
@@ -43,6 +43,8 @@
 	stopping  bool
 	stopAt    clock.Millis
 	gone      bool
+	// lapsed is whether the lease had lapsed when it was looked at last.
+	lapsed bool
 	// custodyAt is when another agent was asked to keep the records, or zero.
 	custodyAt clock.Millis
 	handed    bool
@@ -77,7 +79,7 @@
 	}
 	return proto.Load{
 		Slots: slots, Running: c.running, Queued: c.length, UrgentQueued: c.urgent,
-		Leaving: c.leaving || c.stopping, Ejected: c.ejected, Trial: c.trial,
+		Leaving: c.leaving || c.stopping, Ejected: c.ejected, Trial: c.trial, Lapsed: !c.lease.Current(),
 	}
 }
 
--- a/internal/agent/run_health.go
+++ b/internal/agent/run_health.go
@@ -30,7 +30,8 @@
 
 // Tick watches the backend server, ends pauses and finishes a planned stop; it reports a change of readiness.
 func (c *RunController) Tick() bool {
-	changed := false
+	changed := c.lapsed == c.lease.Current()
+	c.lapsed = !c.lease.Current()
 	if c.announced && c.now-c.lastSeen > c.cfg.BackendTimeout {
 		c.announced = false
 		c.emit(event.Note{Name: "backend_server_silent"})
--- a/internal/entry/agent_choice.go
+++ b/internal/entry/agent_choice.go
@@ -101,7 +101,7 @@
 }
 
 func (c *AgentController) hasRoom(p *pool, v *agentView, urgent, repeatable bool) bool {
-	if !v.usable() || c.now < v.avoid {
+	if !v.usable() || c.now < v.avoid || (v.load.Lapsed && !repeatable) {
 		return false
 	}
 	if v.load.Trial {
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -57,6 +57,8 @@
 	Held    int  `cbor:"held,omitempty" json:"held,omitempty"`
 	Leaving bool `cbor:"leaving,omitempty" json:"leaving,omitempty"`
 	Ejected bool `cbor:"ejected,omitempty" json:"ejected,omitempty"`
+	// Lapsed says that the lease has lapsed, so that only repeatable tasks are started.
+	Lapsed bool `cbor:"lapsed,omitempty" json:"lapsed,omitempty"`
 	// Trial says that the agent was ejected and now takes one task to prove itself.
 	Trial bool `cbor:"trial,omitempty" json:"trial,omitempty"`
 }
--- a/internal/trial/takeover_test.go
+++ b/internal/trial/takeover_test.go
@@ -151,7 +151,12 @@
 	e0.kill()
 	w.run(5000)
 	w.submit(e1, lost)
-	w.run(12_000)
+	waiting := w.submit(e1, w.owned(e1, order, 100))
+	before := w.refused
+	w.run(2000)
+	c.Check(w.refused-before <= 3, qt.IsTrue, qt.Commentf("%d starts refused", w.refused-before))
+	c.Check(waiting.answer, qt.IsNil)
+	w.run(10_000)
 	after := w.submit(e1, w.owned(e1, order, 100))
 	again := w.submit(e1, lost)
 	w.run(5000)
--- a/internal/trial/world_test.go
+++ b/internal/trial/world_test.go
@@ -108,6 +108,7 @@
 	checked  map[*proto.Answer]bool
 	applied  []entry.Applied
 	faults   []string
+	refused  int
 	behave   map[string]agent.Verdict
 	attempts map[string]int
 }
@@ -351,6 +352,9 @@
 		p.exited = true
 		p.w.after(5, p.kill)
 	case event.Note:
+		if a.Name == "start_refused" {
+			p.w.refused++
+		}
 		p.w.write("%s notes %s %s%s\n", p.name, a.Name, a.Job, a.Reason)
 	case agent.Run:
 		p.runTask(a)
