--- a/internal/trial/refusal_test.go
+++ b/internal/trial/refusal_test.go
@@ -52,3 +52,17 @@
 	c.Assert(w.started[j.Key], qt.Equals, 1)
 	w.golden(t)
 }
+
+// Two callers of one entry give the same id other content: each gets the answer to its own request.
+func TestEachCallerGetsItsOwnAnswer(t *testing.T) {
+	c, w := session(t, 2, 2)
+	j := w.owned(w.proc("e0"), order, 50)
+	other := j
+	other.Digest++
+	first := w.submit(w.proc("e1"), j)
+	second := w.submit(w.proc("e1"), other)
+	w.run(500)
+	c.Assert(first.status(), qt.Equals, proto.StatusComplete)
+	c.Assert(second.answer.Reason, qt.Equals, proto.ReasonConflict)
+	w.heldAll(c)
+}
