Look once more at idle connections before a planned stop closes them

At each stop a request that had just arrived on an idle connection was cut: the HTTP server's shutdown closes what it takes for idle without another read.

Change: a listener that drains wakes the read of each idle connection; what has arrived is served, and only a connection on which nothing has arrived is closed.

--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -4,17 +4,27 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 )
 
-const headerLimit = 10 * time.Second
+const (
+	headerLimit = 10 * time.Second
+	// drainPoll is the time between looks at what is still open while a listener drains.
+	drainPoll = 20 * time.Millisecond
+)
 
 // Listener serves HTTP at an address and can close every connection that it has accepted.
 type Listener struct {
 	server *http.Server
 	socket net.Listener
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	// onIdle is called when a connection has become idle; tests wait for it.
+	onIdle func()
 }
 
 // Listen serves HTTP at an IP address and port.
@@ -23,19 +33,74 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen at %s", addr)
 	}
-	l = &Listener{server: &http.Server{Handler: h, ReadHeaderTimeout: headerLimit}, socket: socket}
+	return serve(socket, h), nil
+}
+
+func serve(socket net.Listener, h http.Handler) *Listener {
+	l := &Listener{socket: socket, conns: map[*conn]struct{}{}}
+	l.server = &http.Server{Handler: h, ReadHeaderTimeout: headerLimit, ConnState: l.track}
 	go func() {
 		// Serve returns only when the process shuts the server down.
-		_ = l.server.Serve(socket)
+		_ = l.server.Serve(wrapping{socket})
 	}()
-	return l, nil
+	return l
 }
 
-// Drain refuses new connections and waits for the requests in progress; the error says that some were cut off.
+// Drain refuses new connections, closes the idle ones and waits for the requests in progress; the error says that some
+// were cut off. The server's own shutdown would close idle connections without a look at what has just arrived there.
 func (l *Listener) Drain(limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	// An error would say that the socket is closed already.
+	_ = l.socket.Close()
+	for l.closeIdle() > 0 && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+	}
 	err := l.server.Shutdown(ctx)
 	_ = l.server.Close()
 	return err
 }
+
+// closeIdle begins to close the connections that wait for a request, and returns how many connections are open.
+func (l *Listener) closeIdle() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.closeIfIdle()
+	}
+	return len(l.conns)
+}
+
+func (l *Listener) track(nc net.Conn, s http.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch s {
+	case http.StateNew:
+		l.conns[c] = struct{}{}
+	case http.StateIdle:
+		c.rest()
+		if l.onIdle != nil {
+			l.onIdle()
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(l.conns, c)
+	}
+}
+
+// wrapping accepts connections that can be closed while they are idle.
+type wrapping struct {
+	net.Listener
+}
+
+// Accept waits for the next connection.
+func (w wrapping) Accept() (net.Conn, error) {
+	c, err := w.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c}, nil
+}
