Judge an agent's free room by what is scarce there; log when a job was placed whole

One part of it: the share of free room was that of the most plentiful amount, memory, which is nearly all free everywhere, so that the choice among agents with room was a random one.

Ruled out: too little room (in the calm seconds 28% was free).

Change: the share is that of the amount of which the least is left. The test of the old figure is replaced: it took the greatest share, which is right for what a need takes and wrong for what is left. job_completed says when the last task was sent and how many runs came back.

--- a/internal/disp/common.go
+++ b/internal/disp/common.go
@@ -150,6 +150,9 @@
 	left     []int
 	line     wait.Job
 	stuck    bool
+	// placed is when a task was last sent, and returned the number of runs that came back for want of room.
+	placed   clock.Millis
+	returned int
 }
 
 // agentView is what a dispatcher knows of an agent.
--- a/internal/disp/job_controller.go
+++ b/internal/disp/job_controller.go
@@ -231,6 +231,10 @@
 	}
 	n := event.Note{
 		Name: "job_" + string(r), Job: j.ID, Class: j.Queue, Reason: reason, Count: len(j.tasks), Took: m.now - j.received,
+		Returned: j.returned,
+	}
+	if j.placed > 0 {
+		n.Placed = j.placed - j.received
 	}
 	if r == Refused {
 		m.addInputs(&n, j.Service)
--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -161,6 +161,7 @@
 		t.state = sent
 		t.agent = v.id
 		t.run++
+		j.placed = m.now
 		begins[c].Tasks = append(begins[c].Tasks, proto.TaskBegin{
 			Task: t.name, Run: t.run, Need: step.Need, EstimateMS: step.Estimate,
 		})
--- a/internal/disp/run_outcomes.go
+++ b/internal/disp/run_outcomes.go
@@ -27,6 +27,7 @@
 		m.note(event.Note{Name: "task_stalled", Job: t.name, Peer: v.id})
 		m.wait(j, t)
 	case proto.HowNoRoom:
+		j.returned++
 		m.wait(j, t)
 	case proto.HowNotBegun:
 		v.shunned = m.now + shunFor
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -90,6 +90,10 @@
 	Free    int64
 	Age     clock.Millis
 	Waiting int
+	// Placed is how long after its arrival the last task of a job was sent to an agent, and Returned how many of its runs
+	// came back for want of room.
+	Placed   clock.Millis
+	Returned int
 	// Quiet notes are counted and not logged.
 	Quiet bool
 }
--- a/internal/node/notes.go
+++ b/internal/node/notes.go
@@ -48,6 +48,8 @@
 	if n.Agents != 0 {
 		kv = append(kv, "agents", n.Agents, "free", n.Free, "age_ms", int64(n.Age), "waiting", n.Waiting)
 	}
+	add(n.Placed != 0, "placed_ms", int64(n.Placed))
+	add(n.Returned != 0, "returned", n.Returned)
 	add(n.Took != 0, "took_ms", int64(n.Took))
 	return kv
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -86,7 +86,7 @@
 }
 
 func score(c *Candidate, t Task) float64 {
-	s := c.Free.Minus(t.Need).Share(c.Total)
+	s := c.Free.Minus(t.Need).ShareOf(c.Total)
 	s -= slowWeight * max(c.Slow-1, 0)
 	s -= failingWeight * c.Failing
 	if t.Near != "" && !slices.Contains(c.Labels, t.Near) {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -35,6 +35,11 @@
 	qt.Assert(t, place.Choose(agents(10000, 10000, 10000), tasks(3, 2000), fixed(0)), qt.DeepEquals, []int{0, 1, 2})
 }
 
+// The load pattern of a busy day: memory is plentiful everywhere, processors decide which agent is emptiest.
+func TestEmptiestIsTheAgentWithTheMostOfWhatIsScarce(t *testing.T) {
+	qt.Assert(t, place.Choose(agents(4000, 9000), tasks(1, 1000), fixed(0)), qt.DeepEquals, []int{1})
+}
+
 func TestTasksWithoutRoomHaveNoAgent(t *testing.T) {
 	qt.Assert(t, place.Choose(agents(3000, 1000), tasks(2, 2000), fixed(0)), qt.DeepEquals, []int{0, -1})
 }
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -25,13 +25,13 @@
 	return need.CPU <= r.CPU && need.MemMB <= r.MemMB && need.GPU <= r.GPU
 }
 
-// Share returns how much of the total the need takes, by the scarcest amount, from 0.
-func (r Room) Share(total Room) float64 {
-	share := 0.0
+// ShareOf returns which part of the total the room is, by the amount of which the least is left, from 0 to 1.
+func (r Room) ShareOf(total Room) float64 {
+	share := 1.0
 	for _, d := range [][2]int64{{r.CPU, total.CPU}, {r.MemMB, total.MemMB}, {r.GPU, total.GPU}} {
 		if d[1] > 0 {
-			share = max(share, float64(d[0])/float64(d[1]))
+			share = min(share, float64(d[0])/float64(d[1]))
 		}
 	}
-	return share
+	return max(share, 0)
 }
--- a/internal/room/room_test.go
+++ b/internal/room/room_test.go
@@ -29,5 +29,7 @@
 
 func TestShareIsThatOfTheScarcestAmount(t *testing.T) {
 	total := room.Room{CPU: 1000, MemMB: 100}
-	qt.Assert(t, room.Room{CPU: 100, MemMB: 50}.Share(total), qt.Equals, 0.5)
+	qt.Check(t, room.Room{CPU: 100, MemMB: 50}.ShareOf(total), qt.Equals, 0.1)
+	qt.Check(t, room.Room{CPU: 900, MemMB: 0}.ShareOf(total), qt.Equals, 0.0)
+	qt.Check(t, room.Room{CPU: -5, MemMB: 50}.ShareOf(total), qt.Equals, 0.0)
 }
