Send nothing with a session that the state machine does not know yet

When a session was reset and opened again before the control thread had handled its end, an order went out with the new session, behind the agent's inventory: the inventory did not name it, the dispatcher took it for lost with the old session and sent the task elsewhere, while the agent began it.

Change: each session has a number; a message is only sent with the session whose beginning the state machine has handled. All four kinds of process. TestNothingIsSentWithASessionThatTheMachineDoesNotKnow, red without the comparison.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -23,6 +23,8 @@
 type SessionUp struct {
 	Peer shard.ID
 	Role proto.Role
+	// Session tells the sessions of a process apart; it rises.
+	Session uint64
 }
 
 // SessionDown tells that the last session with a process was closed.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -76,6 +76,9 @@
 	id       shard.ID
 	sessions map[shard.ID]*session
 	dialers  map[shard.ID]context.CancelFunc
+	// opened counts sessions, and taken holds the session that the state machine knows of, by process.
+	opened uint64
+	taken  map[shard.ID]uint64
 }
 
 // New creates a mesh without sessions.
@@ -84,7 +87,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	return &Mesh{
 		cfg: cfg, ctx: ctx, stop: stop, id: cfg.ID,
-		sessions: map[shard.ID]*session{}, dialers: map[shard.ID]context.CancelFunc{},
+		sessions: map[shard.ID]*session{}, dialers: map[shard.ID]context.CancelFunc{}, taken: map[shard.ID]uint64{},
 	}
 }
 
@@ -214,8 +217,10 @@
 		old.cancel()
 		m.cfg.Inbox.Push(event.SessionDown{Peer: s.peer})
 	}
+	m.opened++
+	s.number = m.opened
 	m.sessions[s.peer] = s
-	m.cfg.Inbox.Push(event.SessionUp{Peer: s.peer, Role: hello.Role})
+	m.cfg.Inbox.Push(event.SessionUp{Peer: s.peer, Role: hello.Role, Session: s.number})
 	return true
 }
 
@@ -229,10 +234,26 @@
 	m.cfg.Inbox.Push(event.SessionDown{Peer: s.peer})
 }
 
-// Send queues a message for the session with a process; without one it is lost.
+// Take notes that the state machine is about to handle an event.
+func (m *Mesh) Take(ev event.Event) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch ev := ev.(type) {
+	case event.SessionUp:
+		m.taken[ev.Peer] = ev.Session
+	case event.SessionDown:
+		delete(m.taken, ev.Peer)
+	}
+}
+
+// Send queues a message for the session with a process; it is lost without one, and if the state machine has not yet
+// handled the end of the session before: what it believes to have sent with the old one must not travel with the new.
 func (m *Mesh) Send(to shard.ID, msg proto.Message, lazy bool) {
 	m.mu.Lock()
 	s := m.sessions[to]
+	if s != nil && s.number != m.taken[to] {
+		s = nil
+	}
 	m.mu.Unlock()
 	if s != nil {
 		s.queue(msg, lazy)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
+	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/event"
 	"corianderspur.example/corianderspur/internal/mesh"
 	"corianderspur.example/corianderspur/internal/proto"
@@ -27,6 +28,43 @@
 	return mesh.New(mesh.Config{ID: id, Role: role, Inbox: b}), b
 }
 
+// take returns the next event as the state machine would handle it.
+func take(m *mesh.Mesh, b *inbox) event.Event {
+	ev := <-b.events
+	m.Take(ev)
+	return ev
+}
+
+// Found by a score of a grown deployment, where slow entries had many events waiting: a task was at work twice. An order that
+// was meant for a session which had ended travelled with the next one, after the agent had listed what it had there.
+func TestNothingIsSentWithASessionThatTheMachineDoesNotKnow(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := qt.New(t)
+	entry, atEntry := newMesh("entry-0/1", proto.RoleEntry)
+	server := httptest.NewServer(entry)
+	defer server.Close()
+	agent, atAgent := newMesh("agent-0/1", proto.RoleAgent)
+	members := []shard.Member{{ID: "entry-0/1", Addr: server.Listener.Addr().String()}}
+	agent.Connect(members)
+	take(entry, atEntry)
+	take(agent, atAgent)
+	ping := func(n int) proto.Message { return proto.Message{Ping: &proto.Ping{Sent: clock.Millis(n)}} }
+
+	entry.Drop("agent-0/1")
+	c.Assert(take(agent, atAgent), qt.Equals, event.SessionDown{Peer: "entry-0/1"})
+	take(agent, atAgent)
+	down, up := <-atEntry.events, <-atEntry.events
+	c.Assert(up, qt.Equals, event.SessionUp{Peer: "agent-0/1", Role: proto.RoleAgent, Session: 2})
+	entry.Send("agent-0/1", ping(1), false)
+	entry.Take(down)
+	entry.Send("agent-0/1", ping(2), false)
+	entry.Take(up)
+	entry.Send("agent-0/1", ping(3), false)
+	c.Check((<-atAgent.events).(event.Received).Message.Ping.Sent, qt.Equals, clock.Millis(3))
+	agent.Close()
+	entry.Close()
+}
+
 // Two processes open a session, exchange messages in order, reset it, and open another; nothing is left running.
 func TestSession(t *testing.T) {
 	defer goleak.VerifyNone(t)
@@ -37,8 +75,8 @@
 	agent, atAgent := newMesh("agent-0/1", proto.RoleAgent)
 	agent.Connect([]shard.Member{{ID: "entry-0/1", Addr: server.Listener.Addr().String()}})
 
-	c.Assert(<-atEntry.events, qt.Equals, event.SessionUp{Peer: "agent-0/1", Role: proto.RoleAgent})
-	c.Assert(<-atAgent.events, qt.Equals, event.SessionUp{Peer: "entry-0/1", Role: proto.RoleEntry})
+	c.Assert(take(entry, atEntry), qt.Equals, event.SessionUp{Peer: "agent-0/1", Role: proto.RoleAgent, Session: 1})
+	c.Assert(take(agent, atAgent), qt.Equals, event.SessionUp{Peer: "entry-0/1", Role: proto.RoleEntry, Session: 1})
 	agent.Send("entry-0/1", proto.Message{Ping: &proto.Ping{Sent: 1}}, true)
 	agent.Send("entry-0/1", proto.Message{Ping: &proto.Ping{Sent: 2}}, false)
 	for want := range 2 {
@@ -52,7 +90,7 @@
 	agent.Reset("agent-0/1.1")
 	c.Assert(<-atAgent.events, qt.Equals, event.SessionDown{Peer: "entry-0/1"})
 	c.Assert(<-atEntry.events, qt.Equals, event.SessionDown{Peer: "agent-0/1"})
-	c.Assert(<-atEntry.events, qt.Equals, event.SessionUp{Peer: "agent-0/1.1", Role: proto.RoleAgent})
+	c.Assert(<-atEntry.events, qt.Equals, event.SessionUp{Peer: "agent-0/1.1", Role: proto.RoleAgent, Session: 2})
 	agent.Close()
 	entry.Close()
 }
--- a/internal/mesh/session.go
+++ b/internal/mesh/session.go
@@ -20,6 +20,7 @@
 	wake   chan struct{}
 	self   shard.ID
 	peer   shard.ID
+	number uint64
 
 	mu      sync.Mutex
 	out     []proto.Message
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -98,6 +98,7 @@
 	n.tables = &tableCaller{ctx: running, store: table.NewHTTPStore(cfg.TableAddr, newTableClient()), loop: n.loop}
 	n.mesh = mesh.New(mesh.Config{ID: id, Role: proto.RoleAgent, Inbox: n.loop, Counter: out.meter, BatchDelay: cfg.BatchMS})
 	n.loop.perform = n.perform
+	n.loop.take = n.mesh.Take
 	n.loop.stale = func(ev event.Event) { n.loop.handle(n.loop.last, ev) }
 	n.loop.thaw = func() {
 		out.log.Info("thawed")
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -47,6 +47,7 @@
 		RedialMost: cfg.DialTimeoutMS / 3,
 	})
 	d.loop.perform = d.perform
+	d.loop.take = d.mesh.Take
 	d.loop.stale = d.stale
 	d.loop.thaw = func() { d.thaw(id) }
 	return d
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -102,6 +102,7 @@
 	n.tables = &tableCaller{ctx: running, store: n.store, loop: n.loop}
 	n.mesh = mesh.New(mesh.Config{ID: id, Role: proto.RoleEntry, Inbox: n.loop, Counter: out.meter, BatchDelay: cfg.BatchMS})
 	n.loop.perform = n.perform
+	n.loop.take = n.mesh.Take
 	n.loop.stale = n.stale
 	n.loop.thaw = func() {
 		out.log.Info("thawed")
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -51,6 +51,7 @@
 	k.loop.every = cfg.TickMS.Duration()
 	k.mesh = mesh.New(mesh.Config{ID: id, Role: proto.RoleAgent, Inbox: k.loop})
 	k.loop.perform = k.perform
+	k.loop.take = k.mesh.Take
 	k.loop.stale = func(ev event.Event) { k.loop.handle(k.loop.last, ev) }
 	k.loop.thaw = func() {
 		log.Info("thawed")
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -32,6 +32,8 @@
 	machine Machine
 	// perform carries out one action.
 	perform func(a event.Action)
+	// take is told of each event before the machine handles it.
+	take func(ev event.Event)
 	// stale handles an event that waited while the process was frozen.
 	stale func(ev event.Event)
 	// thaw closes every session after the process was frozen.
@@ -94,9 +96,9 @@
 		case <-ctx.Done():
 			return
 		case <-l.wake:
-			l.handleAll(l.take())
+			l.handleAll(l.waiting())
 		case <-ticker.C:
-			l.handleAll(append(l.take(), event.Tick{}))
+			l.handleAll(append(l.waiting(), event.Tick{}))
 		}
 	}
 }
@@ -108,7 +110,7 @@
 	l.space.Broadcast()
 }
 
-func (l *Loop) take() []event.Event {
+func (l *Loop) waiting() []event.Event {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	queue := l.queue
@@ -147,6 +149,9 @@
 		close(c.done)
 		return
 	}
+	if l.take != nil {
+		l.take(ev)
+	}
 	for _, a := range l.machine.Handle(now, ev) {
 		l.perform(a)
 	}
@@ -159,7 +164,7 @@
 	l.mu.Unlock()
 	l.last = now
 	l.thaw()
-	for _, ev := range append(events, l.take()...) {
+	for _, ev := range append(events, l.waiting()...) {
 		switch ev.(type) {
 		case event.Received, event.Tick:
 		case event.SessionUp, event.SessionDown, event.TableDone, event.Stop, disp.Members, call:
