Hold runs at the agent until room is free in a moment; keep room for the first priority

Change: a run that does not fit waits at the agent for up to 12 ms and starts the moment a run ends there; and jobs that are not of the first priority leave room for one mean job of it, a tenth of all room at most.

--- a/internal/disp/common.go
+++ b/internal/disp/common.go
@@ -198,6 +198,8 @@
 	jobs    map[string]*job
 	tickets map[uint64]string
 	line    wait.Line
+	// guards keep room for jobs of the first priority, by service.
+	guards map[string]*wait.Guard
 	// recent remembers the results of ended jobs.
 	recent   map[string]outcome
 	recentQ  []outcome
@@ -226,7 +228,7 @@
 func New(cfg Config) *Machine {
 	return &Machine{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), agents: map[shard.ID]*agentView{}, jobs: map[string]*job{},
-		tickets: map[uint64]string{}, recent: map[string]outcome{}, rates: map[string]*rate{},
+		tickets: map[uint64]string{}, recent: map[string]outcome{}, rates: map[string]*rate{}, guards: map[string]*wait.Guard{},
 	}
 }
 
--- a/internal/disp/job_controller.go
+++ b/internal/disp/job_controller.go
@@ -38,9 +38,23 @@
 		return
 	}
 	m.release(j)
+	m.guard(j)
 	m.work = true
 }
 
+// guard takes note of the need of jobs of the first priority.
+func (m *Machine) guard(j *job) {
+	if !j.line.First() {
+		return
+	}
+	g := m.guards[j.Service]
+	if g == nil {
+		g = &wait.Guard{}
+		m.guards[j.Service] = g
+	}
+	g.Arrived(m.now, j.need())
+}
+
 func (m *Machine) newJob(ev Submit) *job {
 	j := &job{Job: ev.Job, tickets: []uint64{ev.Ticket}, received: m.now, deadline: m.now + ev.Job.Patience - m.cfg.AnswerMargin}
 	j.left = make([]int, len(j.Steps))
--- a/internal/disp/machine_test.go
+++ b/internal/disp/machine_test.go
@@ -296,6 +296,20 @@
 	qt.Assert(t, e.m.jobs[small.ID].line.Begun, qt.IsFalse)
 }
 
+// The load pattern of a busy deployment: a job of a later priority leaves the room that the next job of the first one needs.
+func TestNarrowJobLeavesRoomForTheFirstPriority(t *testing.T) {
+	e := newEntryTest(t, "a1/1")
+	first := jobOf(1, 1, 400)
+	narrow := jobOf(2, 1, 3400)
+	narrow.Priority = 1
+	e.submit(1, first)
+	e.submit(2, narrow)
+	qt.Assert(t, e.begun(), qt.HasLen, 0)
+	next := jobOf(3, 1, 400)
+	e.submit(3, next)
+	qt.Assert(t, e.begun(), qt.DeepEquals, map[shard.ID]int{"a1/1": 1})
+}
+
 // A step waits for the steps that it names.
 func TestStepsRunInOrder(t *testing.T) {
 	e := newEntryTest(t, "a1/1")
--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -15,6 +15,7 @@
 	views      []*agentView
 	candidates []place.Candidate
 	free       room.Room
+	total      room.Room
 	// full says that a job before has not got all of its room.
 	full bool
 }
@@ -49,6 +50,7 @@
 		}
 		p.views = append(p.views, v)
 		p.candidates = append(p.candidates, c)
+		p.total = p.total.Plus(c.Total)
 		if c.Free.CPU > 0 {
 			p.free = p.free.Plus(c.Free)
 		}
@@ -60,11 +62,17 @@
 // whole, unless it is first in line: small jobs behind it would take each slot before enough are free for a wide one.
 func (m *Machine) placeJob(j *job, p *pool) bool {
 	whole := p.full && !j.line.Begun
-	if len(p.candidates) == 0 || (whole && !p.free.Fits(j.need())) {
+	budget := p.free.Minus(m.kept(j, p))
+	if len(p.candidates) == 0 || (whole && !budget.Fits(j.need())) {
 		return false
 	}
 	near := j.line.StaysNear(m.now, m.cfg.Far)
 	tasks, needs := m.waitingOf(j, near)
+	all := len(tasks)
+	tasks, needs = within(budget, tasks, needs)
+	if all > 0 && len(tasks) == 0 {
+		return false
+	}
 	if len(tasks) == 0 {
 		m.line.Remove(j.ID)
 		return true
@@ -72,7 +80,7 @@
 	candidates := slices.Clone(p.candidates)
 	m.countHeld(j, candidates)
 	chosen := place.Choose(candidates, needs, m.rng)
-	missing := 0
+	missing := all - len(tasks)
 	for _, c := range chosen {
 		if c < 0 {
 			missing++
@@ -93,6 +101,26 @@
 	return missing == 0
 }
 
+// kept returns the room that a job has to leave free for more pressing ones.
+func (m *Machine) kept(j *job, p *pool) room.Room {
+	g := m.guards[j.Service]
+	if g == nil {
+		return room.Room{}
+	}
+	return g.Kept(m.now, j.line, p.total)
+}
+
+// within returns the first tasks that fit into a budget together.
+func within(budget room.Room, tasks []*task, needs []place.Task) ([]*task, []place.Task) {
+	for i := range needs {
+		if !budget.Fits(needs[i].Need) {
+			return tasks[:i], needs[:i]
+		}
+		budget = budget.Minus(needs[i].Need)
+	}
+	return tasks, needs
+}
+
 // noteBegun logs that a job has begun, with what it was decided by.
 func (m *Machine) noteBegun(j *job, missing int) {
 	n := event.Note{Name: "job_begun", Job: j.ID, Class: j.Queue, Count: len(j.tasks) - missing, Took: m.now - j.received}
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -20,6 +20,16 @@
 	return Room{CPU: r.CPU - o.CPU, MemMB: r.MemMB - o.MemMB, GPU: r.GPU - o.GPU}
 }
 
+// Times returns the room multiplied by a factor.
+func (r Room) Times(f float64) Room {
+	return Room{CPU: int64(float64(r.CPU) * f), MemMB: int64(float64(r.MemMB) * f), GPU: int64(float64(r.GPU) * f)}
+}
+
+// AtMost returns the room with no amount above that of another room.
+func (r Room) AtMost(o Room) Room {
+	return Room{CPU: min(r.CPU, o.CPU), MemMB: min(r.MemMB, o.MemMB), GPU: min(r.GPU, o.GPU)}
+}
+
 // Fits reports whether the need fits into the room.
 func (r Room) Fits(need Room) bool {
 	return need.CPU <= r.CPU && need.MemMB <= r.MemMB && need.GPU <= r.GPU
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -153,7 +153,9 @@
 type phase int
 
 const (
-	starting phase = iota
+	// held runs wait for room at the agent and take none.
+	held phase = iota
+	starting
 	working
 	stopping
 )
@@ -177,6 +179,9 @@
 	// percent is how much of the task was done when that last rose, at moved.
 	percent float64
 	moved   clock.Millis
+	// spec is what the run starts with, and until the time at which it is given back, while it is held.
+	spec  string
+	until clock.Millis
 	// stalled says that the run is stopped because it made no progress.
 	stalled bool
 	// halted says that the backend server has acknowledged a stop of the run.
@@ -221,6 +226,9 @@
 	peers       map[shard.ID]*peer
 	runs        map[string]*run
 	used        room.Room
+	// owed is the room that held runs need, and line their tasks in the order of arrival.
+	owed room.Room
+	line []string
 	// strangers are runs at the backend server that this life of the agent has not started, with the time of the last stop.
 	strangers map[string]clock.Millis
 	settled   bool
--- a/internal/runs/lease_controller.go
+++ b/internal/runs/lease_controller.go
@@ -34,6 +34,7 @@
 		return
 	}
 	m.note(event.Note{Name: "backend_server_reborn", Instance: in.ID, Count: len(m.runs)})
+	m.giveBackAll()
 	for _, task := range m.tasks() {
 		r := m.runs[task]
 		if r.born == born || (r.born == 0 && (r.phase == starting || r.unanswered)) {
@@ -96,6 +97,7 @@
 
 // endAll ends every run: the life of the backend server that they belonged to is over.
 func (m *Machine) endAll(reason string) {
+	m.giveBackAll()
 	for _, task := range m.tasks() {
 		r := m.runs[task]
 		m.note(event.Note{Name: "run_lost", Job: r.task, Reason: reason, Peer: r.peer})
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -36,6 +36,7 @@
 	case event.Tick:
 		m.tick()
 	}
+	m.checkHeld()
 	m.lookNow()
 	m.report()
 	return m.out
@@ -106,11 +107,12 @@
 	return names
 }
 
-func (m *Machine) free() (free proto.Report) {
+// state returns what dispatchers are told of the agent.
+func (m *Machine) state() (r proto.Report) {
 	if m.instance != nil {
-		free.Free = m.instance.Total.Minus(m.used)
+		r.Free = m.instance.Total.Minus(m.used).Minus(m.owed)
 	}
-	free.Taking = m.taking()
-	free.Settled = m.settled
-	return free
+	r.Taking = m.taking()
+	r.Settled = m.settled
+	return r
 }
--- a/internal/runs/peer_controller.go
+++ b/internal/runs/peer_controller.go
@@ -164,7 +164,7 @@
 		p.dirty = false
 		p.offerAt = 0
 		p.echoed = m.now
-		r := m.free()
+		r := m.state()
 		r.Echo = p.stamp
 		r.Begun = p.begun
 		r.Ends = slices.Clone(p.unsent())
--- a/internal/runs/run_controller.go
+++ b/internal/runs/run_controller.go
@@ -12,24 +12,36 @@
 // begin starts the tasks of one Begin that fit; valid says that the order is not too old.
 func (m *Machine) begin(p *peer, b proto.Begin, valid bool) {
 	for _, t := range b.Tasks {
-		if how := m.refusal(b, t, valid); how != "" {
-			if how == proto.HowNoRoom {
-				p.wants = m.now + wantFor
-			}
+		how := m.refusal(b, t, valid)
+		if how == proto.HowNoRoom {
+			p.wants = m.now + wantFor
+		}
+		r := &run{peer: p.id, task: t.Task, run: t.Run, need: t.Need, spec: b.Spec}
+		switch {
+		case how == "":
+			m.runs[t.Task] = r
+			m.start(r)
+			m.tellWaiting()
+		case how == proto.HowNoRoom && m.mayHold(r):
+			m.runs[t.Task] = r
+			m.hold(r)
+		default:
 			m.end(p.id, t.Task, t.Run, how, 0)
-			continue
 		}
-		r := &run{peer: p.id, task: t.Task, run: t.Run, need: t.Need, began: m.now}
-		m.runs[t.Task] = r
-		m.tellWaiting()
-		m.used = m.used.Plus(t.Need)
-		m.act(StartRun{
-			Instance: m.instance.ID, Task: r.task, Run: r.run, Spec: b.Spec, Lease: m.cfg.Lease, Timeout: m.cfg.OrderTimeout,
-		})
-		m.renewed = m.now
 	}
 }
 
+// start takes the room of a run and orders the backend server to start it.
+func (m *Machine) start(r *run) {
+	r.phase = starting
+	r.began = m.now
+	m.used = m.used.Plus(r.need)
+	m.renewed = m.now
+	m.act(StartRun{
+		Instance: m.instance.ID, Task: r.task, Run: r.run, Spec: r.spec, Lease: m.cfg.Lease, Timeout: m.cfg.OrderTimeout,
+	})
+}
+
 // refusal returns why a task does not begin, or nothing.
 func (m *Machine) refusal(b proto.Begin, t proto.TaskBegin, valid bool) proto.How {
 	switch {
@@ -37,7 +49,7 @@
 		return proto.HowNotBegun
 	case m.runs[t.Task] != nil:
 		return proto.HowNotBegun
-	case !m.instance.Total.Minus(m.used).Fits(t.Need):
+	case !m.instance.Total.Minus(m.used).Minus(m.owed).Fits(t.Need):
 		return proto.HowNoRoom
 	}
 	return ""
@@ -95,6 +107,10 @@
 
 // halt orders a stop of the run; its room stays taken until the end is known.
 func (m *Machine) halt(r *run) {
+	if r.phase == held {
+		m.giveBack(r)
+		return
+	}
 	r.phase = stopping
 	m.sendHalt(r)
 }
@@ -134,6 +150,10 @@
 
 // finish frees the room of a run that is not at work any more and tells its dispatcher.
 func (m *Machine) finish(r *run, how proto.How) {
+	if r.phase == held {
+		m.giveBack(r)
+		return
+	}
 	delete(m.runs, r.task)
 	m.used = m.used.Minus(r.need)
 	took := clock.Millis(0)
@@ -141,6 +161,7 @@
 		took = m.now - r.worked
 	}
 	m.end(r.peer, r.task, r.run, how, took)
+	m.startHeld()
 	m.tellWaiting()
 }
 
--- a/internal/wait/line.go
+++ b/internal/wait/line.go
@@ -31,12 +31,17 @@
 	rankOther
 )
 
+// First reports whether the job is of the operators' first priority.
+func (j Job) First() bool {
+	return j.Priority == 0
+}
+
 // Rank returns how pressing the job is against those of other ranks.
 func (j Job) Rank() int {
 	switch {
 	case j.Begun:
 		return rankBegun
-	case j.Priority == 0:
+	case j.First():
 		return rankFirst
 	}
 	return rankOther
