--- a/internal/runs/hold_controller_test.go
+++ b/internal/runs/hold_controller_test.go
@@ -73,3 +73,14 @@
 	a.begin("e1/1", "j2", 5000)
 	qt.Assert(t, a.ends("e1/1"), qt.DeepEquals, []proto.How{proto.HowNoRoom})
 }
+
+// Found by a drawn session (seeds from 5000): a run that the backend server no longer lists ends, and with it the wait of a
+// run whose dispatcher is gone.
+func TestMissingRunEndsBesideAHeldOne(t *testing.T) {
+	a := holding(t)
+	a.do(event.SessionDown{Peer: "e2/1"})
+	a.answerLook()
+	a.answerLook()
+	qt.Assert(t, a.m.runs, qt.HasLen, 0)
+	qt.Assert(t, a.ends("e1/1"), qt.DeepEquals, []proto.How{proto.HowStopped})
+}
--- a/internal/runs/lease_controller.go
+++ b/internal/runs/lease_controller.go
@@ -246,7 +246,8 @@
 	}
 	for _, task := range m.tasks() {
 		r := m.runs[task]
-		if _, ok := listed[task]; ok || r.confirmed == 0 || ev.Number < r.confirmed {
+		// The end of a run may have ended the wait of a held one.
+		if _, ok := listed[task]; ok || r == nil || r.confirmed == 0 || ev.Number < r.confirmed {
 			continue
 		}
 		m.note(event.Note{Name: "run_missing", Job: r.task, Peer: r.peer})
--- a/internal/runs/peer_controller.go
+++ b/internal/runs/peer_controller.go
@@ -117,7 +117,6 @@
 	}
 	for _, b := range o.Begins {
 		p.begun = b.Seq
-		p.dirty = true
 		m.begin(p, b, valid)
 	}
 }
