--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"corianderspur.example/corianderspur/internal/stand"
+	"corianderspur.example/corianderspur/platform/soak"
 )
 
 func main() {
@@ -27,6 +28,14 @@
 	askCmd := app.Command("ask", "Send a request, print the body of the response and fail unless it is a success.")
 	askURL := askCmd.Arg("url", "Where to send the request.").Required().String()
 	askBody := askCmd.Flag("post", "Body of a POST; without it the request is a GET.").String()
+	soakCmd := app.Command("soak", "Stand in for the operators' platform, break it, and check what callers and runners see.")
+	soakBase := soakCmd.Flag("base", "First port on loopback.").Default("18000").Int()
+	soakEntries := soakCmd.Flag("entries", "Number of entries.").Default("3").Int()
+	soakAgents := soakCmd.Flag("agents", "Number of agents.").Default("6").Int()
+	soakCallers := soakCmd.Flag("callers", "Number of callers.").Default("12").Int()
+	soakLength := soakCmd.Flag("length", "How long the run takes.").Default("30s").Duration()
+	soakCalm := soakCmd.Flag("calm", "Time at the end in which nothing is broken.").Default("8s").Duration()
+	soakSeed := soakCmd.Flag("seed", "Seed of the faults.").Default("1").Uint64()
 	command := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -37,6 +46,14 @@
 		b := stand.NewBackend(*backendAddr, *agentAddr, *slots)
 		go b.Announce(ctx)
 		serve(ctx, app, *backendAddr, b.Handler())
+	case soakCmd.FullCommand():
+		cfg := soak.Layout(*soakBase, *soakEntries, *soakAgents)
+		cfg.Callers, cfg.Length, cfg.Calm, cfg.Seed = *soakCallers, *soakLength, *soakCalm, *soakSeed
+		kept, err := soak.Run(ctx, cfg, os.Stdout)
+		app.FatalIfError(err, "soak")
+		if !kept {
+			app.Fatalf("a promise was broken")
+		}
 	case askCmd.FullCommand():
 		app.FatalIfError(ask(ctx, *askURL, *askBody), "ask %s", *askURL)
 	}
--- a/internal/runs/machine_test.go
+++ b/internal/runs/machine_test.go
@@ -292,6 +292,23 @@
 	qt.Assert(t, actions[event.Send](a)[0].To, qt.Equals, shard.ID("e1/1"))
 }
 
+// A backend server that has announced its end gets nothing new; what runs there may end.
+func TestDrainingBackendServerTakesNothingNew(t *testing.T) {
+	a := newAgentTest(t)
+	a.begin("e1/1", "j1", 1000)
+	a.started("j1")
+	in := instance(1)
+	in.Seq, in.Draining = 2, true
+	a.do(Announced{Instance: in})
+	for _, s := range actions[event.Send](a) {
+		qt.Check(t, s.Message.Report.Taking, qt.IsFalse)
+	}
+	a.begin("e1/1", "j2", 1000)
+	qt.Check(t, actions[StartRun](a), qt.HasLen, 0)
+	qt.Check(t, a.ends("e1/1"), qt.DeepEquals, []proto.How{proto.HowNotBegun})
+	qt.Check(t, a.m.runs, qt.HasLen, 1)
+}
+
 // A planned stop takes nothing new and ends when what runs has ended.
 func TestPlannedStopWaitsForRuns(t *testing.T) {
 	a := newAgentTest(t)
