Leave tasks larger than the guarded room out of the guard

Cause: read again, the guard's room is a sum over all agents. With one backend server a task that fills it would never begin while jobs of the first priority come; with three it would wait for two to be empty.

Ruled out: the four sites, where the room to keep (13 to 38 cores) is larger than any task (1.3 to 4.7 cores).

Change: a job whose largest task needs more than the room to keep leaves none free.

--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -107,7 +107,17 @@
 	if g == nil {
 		return room.Room{}
 	}
-	return g.Kept(m.now, j.line, p.total)
+	return g.Kept(m.now, j.line, j.largest(), p.total)
+}
+
+// largest returns the need of the waiting task that needs most of the processors.
+func (j *job) largest() (need room.Room) {
+	for _, t := range j.tasks {
+		if n := j.Steps[t.step].Need; t.state == waiting && n.CPU > need.CPU {
+			need = n
+		}
+	}
+	return need
 }
 
 // within returns the first tasks that fit into a budget together.
--- a/internal/wait/guard.go
+++ b/internal/wait/guard.go
@@ -36,10 +36,15 @@
 	g.last = now
 }
 
-// Kept returns the room that jobs of this rank have to leave free out of total.
-func (g *Guard) Kept(now clock.Millis, j Job, total room.Room) room.Room {
+// Kept returns the room that a job has to leave free out of total; task is what its largest task needs. A task that is larger
+// than the room to keep leaves none free: on a few backend servers it might never begin.
+func (g *Guard) Kept(now clock.Millis, j Job, task, total room.Room) room.Room {
 	if !g.seen || now-g.last > guardFor || j.Rank() != rankOther {
 		return room.Room{}
 	}
-	return g.need.Times(guardJobs).AtMost(total.Times(guardShare))
+	kept := g.need.Times(guardJobs).AtMost(total.Times(guardShare))
+	if task.CPU > kept.CPU {
+		return room.Room{}
+	}
+	return kept
 }
