--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -44,8 +44,7 @@
 	server := httptest.NewServer(entry)
 	defer server.Close()
 	agent, atAgent := newMesh("agent-0/1", proto.RoleAgent)
-	members := []shard.Member{{ID: "entry-0/1", Addr: server.Listener.Addr().String()}}
-	agent.Connect(members)
+	agent.Connect([]shard.Member{{ID: "entry-0/1", Addr: server.Listener.Addr().String()}})
 	take(entry, atEntry)
 	take(agent, atAgent)
 	ping := func(n int) proto.Message { return proto.Message{Ping: &proto.Ping{Sent: clock.Millis(n)}} }
