Let control follow work: idle sessions hear less, room goes to one dispatcher at a time, entries keep sessions with a part of a large fleet

Cause: on the large fleet every entry told each of 160 agents a heartbeat every 100 ms whether it had work there or not; while anything waited it asked all of them ten times a second, and each agent told every entry that asked of each start and end for 250 ms. Processes were full with control, more work waited, and that asked for more control. Ruled out: the choice of agents for a job (51 us at 61 agents, some 40 jobs a second at an entry). Change: (1) An agent without tasks of a dispatcher hears from it each 400 ms and may be silent for 1 s; authority is counted from the stamps of messages as before, so idle sessions lend none. (2) Waiting work is a state that each message carries, told anew after 500 ms at the latest and taken back with the next message. (3) An agent offers room to one waiting dispatcher, and 4 ms later to the next if room is left.

--- a/internal/conf/leased.go
+++ b/internal/conf/leased.go
@@ -9,6 +9,8 @@
 const (
 	defaultBeat         clock.Millis = 100
 	defaultSilence      clock.Millis = 400
+	defaultIdleBeat     clock.Millis = 400
+	defaultIdleSilence  clock.Millis = 1000
 	defaultLease        clock.Millis = 800
 	defaultReattach     clock.Millis = 200
 	defaultLookWait     clock.Millis = 120
@@ -35,6 +37,9 @@
 	BeatMS clock.Millis `json:"beat_ms" validate:"min=10,max=10000"`
 	// SilenceMS is how long an agent may be silent before its work counts as lost, in milliseconds.
 	SilenceMS clock.Millis `json:"silence_ms" validate:"min=100,max=10000"`
+	// IdleBeatMS and IdleSilenceMS are the same for an agent that has no work of this entry, in milliseconds.
+	IdleBeatMS    clock.Millis `json:"idle_beat_ms" validate:"min=10,max=10000"`
+	IdleSilenceMS clock.Millis `json:"idle_silence_ms" validate:"min=100,max=10000"`
 	// LeaseMS is how long a backend server works on after its agent was lost, in milliseconds.
 	LeaseMS clock.Millis `json:"lease_ms" validate:"min=100,max=10000"`
 	// ReattachMS is how long a reset session has to come back before its work counts as lost, in milliseconds.
@@ -62,7 +67,8 @@
 // DefaultDispatcher returns the settings that a dispatcher uses where its file says nothing.
 func DefaultDispatcher() Dispatcher {
 	return Dispatcher{
-		BeatMS: defaultBeat, SilenceMS: defaultSilence, LeaseMS: defaultLease, ReattachMS: defaultReattach,
+		BeatMS: defaultBeat, SilenceMS: defaultSilence, IdleBeatMS: defaultIdleBeat, IdleSilenceMS: defaultIdleSilence,
+		LeaseMS: defaultLease, ReattachMS: defaultReattach,
 		DialTimeoutMS: 300, RedialMS: 10, AnswerMarginMS: 60, DrainLimitMS: 5500, FeedWaitMS: 1000, FarFactor: 1, GCPercent: 200, TickMS: defaultTick,
 	}
 }
@@ -89,6 +95,8 @@
 	LeaseMS clock.Millis `json:"lease_ms" validate:"min=100,max=10000"`
 	// SilenceMS is how long a dispatcher may be silent before its runs are stopped, in milliseconds.
 	SilenceMS clock.Millis `json:"silence_ms" validate:"min=100,max=10000"`
+	// IdleSilenceMS is how long a dispatcher without runs may be silent before its session is closed, in milliseconds.
+	IdleSilenceMS clock.Millis `json:"idle_silence_ms" validate:"min=100,max=10000"`
 	// ReattachMS is how long a dispatcher has for a new session when the old one was reset, in milliseconds.
 	ReattachMS clock.Millis `json:"reattach_ms" validate:"min=10,max=10000"`
 	// LookWaitMS is how long the backend server waits for an end before it answers, in milliseconds.
@@ -108,7 +116,7 @@
 // DefaultKeeper returns the settings that a keeper uses where its file says nothing.
 func DefaultKeeper() Keeper {
 	return Keeper{
-		LeaseMS: defaultLease, SilenceMS: defaultSilence, ReattachMS: defaultReattach, LookWaitMS: defaultLookWait,
+		LeaseMS: defaultLease, SilenceMS: defaultSilence, IdleSilenceMS: defaultIdleSilence, ReattachMS: defaultReattach, LookWaitMS: defaultLookWait,
 		OrderTimeoutMS: defaultOrderTimeout, DrainLimitMS: 5500, GCPercent: 200, TickMS: defaultTick,
 	}
 }
--- a/internal/disp/agent_controller.go
+++ b/internal/disp/agent_controller.go
@@ -23,6 +23,7 @@
 	}
 	v.downAt = 0
 	v.heard = m.now
+	v.wanted = 0
 	v.attached = false
 	v.flight = nil
 	v.seq = 0
@@ -81,36 +82,71 @@
 		}
 		return
 	}
-	if m.now-v.heard > m.cfg.Silence {
+	if m.now-max(v.heard, v.busySince) > m.silenceOf(v) {
 		m.note(event.Note{Name: "agent_silent", Peer: v.id, Took: m.now - v.heard, Count: m.countAt(v.id)})
 		m.act(Drop{Peer: v.id})
 		m.sessionDown(v.id)
 		return
 	}
-	if m.now-v.beaten >= m.cfg.Beat {
+	if m.now-v.beaten >= m.beatOf(v) {
 		m.beat(v)
 	}
 }
 
+// silenceOf returns how long an agent may be silent: an agent without tasks of this dispatcher hears and tells less often.
+func (m *Machine) silenceOf(v *agentView) clock.Millis {
+	if v.busy {
+		return m.cfg.Silence
+	}
+	return m.cfg.IdleSilence
+}
+
+func (m *Machine) beatOf(v *agentView) clock.Millis {
+	if v.busy {
+		return m.cfg.Beat
+	}
+	return m.cfg.IdleBeat
+}
+
+// checkBusy takes note of the agents that have tasks of this dispatcher.
+func (m *Machine) checkBusy() {
+	for _, v := range m.agents {
+		v.busy = false
+	}
+	for _, j := range m.jobs {
+		for _, t := range j.tasks {
+			if v := m.agents[t.agent]; t.state == sent && v != nil {
+				v.busy = true
+			}
+		}
+	}
+}
+
 func (m *Machine) beat(v *agentView) {
 	m.order(v, &proto.Orders{})
 }
 
-// wantEvery is the time between requests to be told of an agent's room, in milliseconds.
-const wantEvery = 100 * clock.Millis(1)
+// wantEvery is the time after which an agent is told again that work waits, if no other message has told it, in milliseconds.
+const wantEvery = 500 * clock.Millis(1)
 
-// wantRoom asks the agents of a service to tell of their room at once, while work waits for it.
+// wantRoom tells the agents of a service that work waits, so that they offer room that becomes free. What agents hear
+// anyway repeats it, and the first message after the line is empty takes it back.
 func (m *Machine) wantRoom(service string, rank int) {
+	m.wants[service] = rank
 	for _, id := range m.agentIDs() {
 		v := m.agents[id]
-		if v.attached && v.facts.Service == service && (m.now-v.wanted >= wantEvery || rank < v.wantedRank) {
-			v.wanted, v.wantedRank = m.now, rank
-			m.order(v, &proto.Orders{Want: true, Rank: rank})
+		if v.attached && v.facts.Service == service && (v.wanted == 0 || m.now-v.wanted >= wantEvery || rank < v.wantedRank) {
+			m.order(v, &proto.Orders{})
 		}
 	}
 }
 
 func (m *Machine) order(v *agentView, o *proto.Orders) {
+	v.wanted = 0
+	if rank, ok := m.wants[v.facts.Service]; ok && m.line.Len() > 0 {
+		o.Want, o.Rank = true, rank
+		v.wanted, v.wantedRank = m.now, rank
+	}
 	o.Stamp = m.now
 	o.Noted = v.noted
 	v.beaten = m.now
@@ -122,6 +158,11 @@
 	if v == nil || v.downAt != 0 {
 		return
 	}
+	if err := r.Check(); err != nil {
+		m.note(event.Note{Name: "report_malformed", Peer: from, Reason: err.Error()})
+		m.act(Drop{Peer: from})
+		return
+	}
 	v.heard = m.now
 	grown := r.Taking && (!v.taking || r.Free.CPU > v.free.CPU || r.Free.MemMB > v.free.MemMB || len(r.Ends) > 0)
 	v.free, v.taking, v.settled, v.begun = r.Free, r.Taking, r.Settled, r.Begun
@@ -219,5 +260,5 @@
 
 // usable reports whether tasks of a service may be sent to the agent.
 func (m *Machine) usable(v *agentView, service string) bool {
-	return v.attached && v.taking && v.facts.Service == service && m.now >= v.shunned
+	return v.attached && !v.unchosen && v.taking && v.facts.Service == service && m.now >= v.shunned
 }
--- a/internal/disp/common.go
+++ b/internal/disp/common.go
@@ -14,10 +14,15 @@
 // Config is what the state machine is built from; times are in milliseconds.
 type Config struct {
 	ID shard.ID
+	// Zone is the availability zone of the dispatcher; tasks stay in it while it has room.
+	Zone string
 	// Beat is the time between heartbeats to an agent.
 	Beat clock.Millis
 	// Silence is how long an agent may be silent, and how long an agent bears a silent dispatcher.
 	Silence clock.Millis
+	// IdleBeat and IdleSilence are the same for an agent that has no task of this dispatcher; zero stands for Beat and Silence.
+	IdleBeat    clock.Millis
+	IdleSilence clock.Millis
 	// Lease is how long a backend server works on after its agent was lost.
 	Lease clock.Millis
 	// Reattach is how long a reset session has to come back before its runs count as lost.
@@ -80,7 +85,7 @@
 	ID     string
 }
 
-// Members sets the agents to which sessions are kept open.
+// Members sets the agents among which those are chosen to which sessions are kept open.
 type Members struct {
 	Agents []shard.Member
 }
@@ -166,7 +171,10 @@
 	attached bool
 	heard    clock.Millis
 	beaten   clock.Millis
-	// wanted is when the agent was last asked to tell of its room, for work of rank wantedRank.
+	// busy says that tasks of this dispatcher are there, and busySince when the first of them was sent.
+	busy      bool
+	busySince clock.Millis
+	// wanted is when the agent was last told that work of rank wantedRank waits; zero if it was last told that none does.
 	wanted     clock.Millis
 	wantedRank int
 	seq        uint64
@@ -177,6 +185,8 @@
 	failing    float64
 	// downAt is when the session was lost; zero while it is up.
 	downAt clock.Millis
+	// unchosen says that the session is about to be closed, since the choice of agents has changed.
+	unchosen bool
 	// shunned is the time until which nothing is sent there.
 	shunned clock.Millis
 }
@@ -193,6 +203,12 @@
 	out    []event.Action
 	rng    *rand.Rand
 	agents map[shard.ID]*agentView
+	// ranked holds all agents, the preferred ones first, and chosen those to which sessions are kept open, by the time at
+	// which they were chosen.
+	ranked []shard.Member
+	chosen map[shard.ID]clock.Millis
+	// chooseAt is when the choice is looked at again.
+	chooseAt clock.Millis
 	// sorted holds the ids of agents in order; nil after a change.
 	sorted  []shard.ID
 	jobs    map[string]*job
@@ -207,7 +223,9 @@
 	stopAt   clock.Millis
 	exited   bool
 	// work is set when tasks may be placed.
-	work  bool
+	work bool
+	// wants holds the rank of the most pressing work that waits for room, by service.
+	wants map[string]int
 	rates map[string]*rate
 	// born is when the dispatcher handled its first event.
 	born clock.Millis
@@ -226,7 +244,14 @@
 
 // New creates a dispatcher that knows no agents.
 func New(cfg Config) *Machine {
+	if cfg.IdleBeat == 0 {
+		cfg.IdleBeat = cfg.Beat
+	}
+	if cfg.IdleSilence == 0 {
+		cfg.IdleSilence = cfg.Silence
+	}
 	return &Machine{
+		wants: map[string]int{}, chosen: map[shard.ID]clock.Millis{},
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), agents: map[shard.ID]*agentView{}, jobs: map[string]*job{},
 		tickets: map[uint64]string{}, recent: map[string]outcome{}, rates: map[string]*rate{}, guards: map[string]*wait.Guard{},
 	}
--- a/internal/disp/machine.go
+++ b/internal/disp/machine.go
@@ -28,7 +28,7 @@
 			m.report(ev.From, ev.Message.Report)
 		}
 	case Members:
-		m.act(event.Connect{Members: ev.Agents})
+		m.members(ev.Agents)
 	case Submit:
 		m.submit(ev)
 	case Leave:
@@ -48,9 +48,11 @@
 }
 
 func (m *Machine) tick() {
+	m.checkBusy()
 	for _, id := range m.agentIDs() {
 		m.checkAgent(m.agents[id])
 	}
+	m.checkChoice()
 	m.checkJobs()
 	m.forget()
 	if m.stopping && !m.exited && (len(m.jobs) == 0 || m.now >= m.stopAt) {
--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -23,6 +23,7 @@
 // placeAll sends tasks that have room to agents, in the order of the line.
 func (m *Machine) placeAll() {
 	pools := map[string]*pool{}
+	clear(m.wants)
 	for _, w := range m.line.Jobs() {
 		j := m.jobs[w.ID]
 		p := pools[j.Service]
@@ -47,6 +48,7 @@
 		}
 		c := place.Candidate{
 			ID: id, Free: v.estimate(), Total: v.facts.Total, Labels: v.facts.Labels, Slow: v.slow, Failing: v.failing,
+			Away: m.cfg.Zone != "" && v.facts.Zone != m.cfg.Zone,
 		}
 		p.views = append(p.views, v)
 		p.candidates = append(p.candidates, c)
@@ -198,6 +200,9 @@
 		step := j.Steps[t.step]
 		t.state = sent
 		t.agent = v.id
+		if !v.busy {
+			v.busy, v.busySince = true, m.now
+		}
 		t.run++
 		j.placed = m.now
 		begins[c].Tasks = append(begins[c].Tasks, proto.TaskBegin{
--- a/internal/emul/world.go
+++ b/internal/emul/world.go
@@ -47,10 +47,10 @@
 	return Config{
 		Seed: seed, Entries: 3, Agents: 4, Total: room.Room{CPU: 32000, MemMB: 64000}, HoldMost: holdMost,
 		Dispatcher: disp.Config{
-			Beat: 100, Silence: 400, Lease: 800, Reattach: 200, AnswerMargin: 60, DrainLimit: 5000,
+			Beat: 100, Silence: 400, IdleBeat: 400, IdleSilence: 1000, Lease: 800, Reattach: 200, AnswerMargin: 60, DrainLimit: 5000,
 		},
 		Keeper: runs.Config{
-			Lease: 800, Silence: 400, Reattach: 200, LookWait: 120, OrderTimeout: 40, DrainLimit: 5000,
+			Lease: 800, Silence: 400, IdleSilence: 1000, Reattach: 200, LookWait: 120, OrderTimeout: 40, DrainLimit: 5000,
 		},
 	}
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/coder/websocket"
 	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
 
 	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/event"
@@ -45,6 +48,8 @@
 	Inbox Inbox
 	// Counter may be nil.
 	Counter Counter
+	// Log takes the ends of sessions that were not asked for; the zero value discards them.
+	Log logr.Logger
 	// BatchDelay is how long a frame waits for more messages, in milliseconds.
 	BatchDelay clock.Millis
 	// DialTimeout bounds the opening of a session, RedialFirst and RedialMost the pauses between tries, in milliseconds;
@@ -189,6 +194,7 @@
 	defer cancel()
 	s := &session{mesh: m, conn: conn, cancel: cancel, wake: make(chan struct{}, 1)}
 	defer conn.CloseNow()
+	defer m.recovered(s)
 	hello, err := s.greet(ctx)
 	if err != nil {
 		return
@@ -203,7 +209,16 @@
 		defer cancel()
 		s.write(ctx)
 	}()
-	s.read(ctx)
+	if err := s.read(ctx); err != nil && ctx.Err() == nil {
+		m.cfg.Log.Info("session_ended", "peer", string(s.peer), "reason", err.Error())
+	}
+}
+
+// recovered ends only the session whose bytes led to a fault of the program.
+func (m *Mesh) recovered(s *session) {
+	if fault := recover(); fault != nil {
+		m.cfg.Log.Info("fault", "peer", string(s.peer), "reason", fmt.Sprint(fault), "stack", string(debug.Stack()))
+	}
 }
 
 func (m *Mesh) add(s *session, hello *proto.Hello) bool {
--- a/internal/mesh/session.go
+++ b/internal/mesh/session.go
@@ -79,15 +79,15 @@
 	return s.conn.Write(ctx, websocket.MessageBinary, frame)
 }
 
-func (s *session) read(ctx context.Context) {
+func (s *session) read(ctx context.Context) error {
 	for {
 		messages, err := s.readFrame(ctx)
 		if err != nil {
-			return
+			return err
 		}
 		s.mesh.cfg.Inbox.Ready()
 		if !s.pass(messages) {
-			return
+			return nil
 		}
 	}
 }
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -33,7 +33,7 @@
 func NewDispatcher(cfg conf.Dispatcher, incarnation string, seed uint64, log logr.Logger, m *meter.Meter) *Dispatcher {
 	id := shard.ID(cfg.Name + "/" + incarnation)
 	machine := disp.New(disp.Config{
-		ID: id, Beat: cfg.BeatMS, Silence: cfg.SilenceMS, Lease: cfg.LeaseMS, Reattach: cfg.ReattachMS,
+		ID: id, Zone: cfg.AvailabilityZone, Beat: cfg.BeatMS, Silence: cfg.SilenceMS, IdleBeat: cfg.IdleBeatMS, IdleSilence: cfg.IdleSilenceMS, Lease: cfg.LeaseMS, Reattach: cfg.ReattachMS,
 		AnswerMargin: cfg.AnswerMarginMS, DrainLimit: cfg.DrainLimitMS, Far: cfg.FarFactor, Seed: seed,
 	})
 	d := &Dispatcher{
@@ -44,12 +44,13 @@
 	d.loop.every = cfg.TickMS.Duration()
 	d.mesh = mesh.New(mesh.Config{
 		ID: id, Role: proto.RoleEntry, Inbox: d.loop, DialTimeout: cfg.DialTimeoutMS, RedialFirst: cfg.RedialMS,
-		RedialMost: cfg.DialTimeoutMS / 3,
+		RedialMost: cfg.DialTimeoutMS / 3, Log: log,
 	})
 	d.loop.perform = d.perform
 	d.loop.take = d.mesh.Take
 	d.loop.stale = d.stale
 	d.loop.thaw = func() { d.thaw(id) }
+	d.loop.faulted = d.faulted
 	return d
 }
 
@@ -92,6 +93,19 @@
 	}
 }
 
+// faulted gives up what an event was about whose handling failed: the session that a message came with, or a caller.
+func (d *Dispatcher) faulted(ev event.Event, fault string) {
+	d.notes.log.Info("fault", "reason", fault)
+	switch ev := ev.(type) {
+	case event.Received:
+		d.mesh.Drop(ev.From)
+	case disp.Submit:
+		d.reply(disp.Reply{Ticket: ev.Ticket, Result: disp.Unknown})
+	case disp.Cancel:
+		d.reply(disp.Reply{Ticket: ev.Ticket, Result: disp.Unknown})
+	}
+}
+
 // stale refuses a job that may have waited in a socket while the process stood still.
 func (d *Dispatcher) stale(ev event.Event) {
 	switch ev := ev.(type) {
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -40,7 +40,7 @@
 func NewKeeper(cfg conf.Keeper, incarnation string, runner Runner, log logr.Logger, m *meter.Meter) *Keeper {
 	id := shard.ID(cfg.Name + "/" + incarnation)
 	machine := runs.New(runs.Config{
-		ID: id, Name: cfg.Name, Lease: cfg.LeaseMS, Silence: cfg.SilenceMS, Reattach: cfg.ReattachMS, LookWait: cfg.LookWaitMS,
+		ID: id, Name: cfg.Name, Lease: cfg.LeaseMS, Silence: cfg.SilenceMS, IdleSilence: cfg.IdleSilenceMS, Reattach: cfg.ReattachMS, LookWait: cfg.LookWaitMS,
 		OrderTimeout: cfg.OrderTimeoutMS, DrainLimit: cfg.DrainLimitMS,
 	})
 	k := &Keeper{
@@ -49,8 +49,9 @@
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 	k.loop.gap = cfg.SilenceMS
 	k.loop.every = cfg.TickMS.Duration()
-	k.mesh = mesh.New(mesh.Config{ID: id, Role: proto.RoleAgent, Inbox: k.loop})
+	k.mesh = mesh.New(mesh.Config{ID: id, Role: proto.RoleAgent, Inbox: k.loop, Log: log})
 	k.loop.perform = k.perform
+	k.loop.faulted = k.faulted
 	k.loop.take = k.mesh.Take
 	k.loop.stale = func(ev event.Event) { k.loop.handle(k.loop.last, ev) }
 	k.loop.thaw = func() {
@@ -90,6 +91,14 @@
 	k.loop.Do(func(now clock.Millis) { k.do(k.machine.Handle(now, runs.Gone{ID: id})) })
 }
 
+// faulted closes the session of a message whose handling failed: what its dispatcher has here is stopped and settled.
+func (k *Keeper) faulted(ev event.Event, fault string) {
+	k.notes.log.Info("fault", "reason", fault)
+	if r, ok := ev.(event.Received); ok {
+		k.mesh.Drop(r.From)
+	}
+}
+
 func (k *Keeper) do(actions []event.Action) {
 	for _, a := range actions {
 		k.perform(a)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -38,6 +40,10 @@
 	stale func(ev event.Event)
 	// thaw closes every session after the process was frozen.
 	thaw func()
+	// faulted is told of an event whose handling ended in a fault of the program, after which the machine goes on; without it,
+	// and after mostFaults, the process ends.
+	faulted func(ev event.Event, fault string)
+	faults  int
 	// gap is the pause after which waiting input counts as stale, in milliseconds; every is the time between ticks.
 	gap   clock.Millis
 	every time.Duration
@@ -152,11 +158,28 @@
 	if l.take != nil {
 		l.take(ev)
 	}
-	for _, a := range l.machine.Handle(now, ev) {
+	for _, a := range l.decide(now, ev) {
 		l.perform(a)
 	}
 }
 
+// mostFaults is the number of faults after which a process no longer trusts its state.
+const mostFaults = 10
+
+// decide lets the machine handle an event. A fault in it costs what the event was about, not the process.
+func (l *Loop) decide(now clock.Millis, ev event.Event) (actions []event.Action) {
+	defer func() {
+		if l.faulted == nil || l.faults >= mostFaults {
+			return
+		}
+		if fault := recover(); fault != nil {
+			l.faults++
+			l.faulted(ev, fmt.Sprintf("%v\n%s", fault, debug.Stack()))
+		}
+	}()
+	return l.machine.Handle(now, ev)
+}
+
 // dropStale drops input that may have waited through a freeze and closes the sessions it came from.
 func (l *Loop) dropStale(now clock.Millis, events []event.Event) {
 	l.mu.Lock()
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -48,3 +48,32 @@
 	c.now += thawGrace
 	qt.Check(t, l.Thawing(), qt.IsFalse)
 }
+
+// faultyMachine fails on messages.
+type faultyMachine struct {
+	fakeMachine
+}
+
+func (m *faultyMachine) Handle(now clock.Millis, ev event.Event) []event.Action {
+	if _, ok := ev.(event.Received); ok {
+		panic("index out of range")
+	}
+	return m.fakeMachine.Handle(now, ev)
+}
+
+// A message whose handling fails costs the session that it came with, not the process; a process that fails again and again ends,
+// since its state can't be trusted.
+func TestFaultCostsOneSessionOnly(t *testing.T) {
+	m := &faultyMachine{}
+	var faulted []event.Event
+	l := NewLoop(&fakeClock{}, m)
+	l.faulted = func(ev event.Event, _ string) { faulted = append(faulted, ev) }
+	l.handleAll([]event.Event{event.Received{From: "a1"}, event.SessionDown{Peer: "a1"}})
+	qt.Check(t, faulted, qt.DeepEquals, []event.Event{event.Received{From: "a1"}})
+	qt.Check(t, m.handled, qt.DeepEquals, []event.Event{event.SessionDown{Peer: "a1"}})
+
+	for range mostFaults - 1 {
+		l.handleAll([]event.Event{event.Received{From: "a1"}})
+	}
+	qt.Check(t, func() { l.handleAll([]event.Event{event.Received{From: "a1"}}) }, qt.PanicMatches, "index out of range")
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -18,6 +18,8 @@
 	Slow float64
 	// Failing is the share of tasks that have failed there lately, from 0 to 1.
 	Failing float64
+	// Away says that the backend server is in another availability zone than the dispatcher.
+	Away bool
 	// Held counts tasks of the same step that are there already.
 	Held int
 }
@@ -44,6 +46,8 @@
 	slowWeight    = 2.0
 	failingWeight = 4.0
 	avoidWeight   = 4.0
+	// awayWeight is the share of its room that an agent of the own availability zone may be fuller than one of another.
+	awayWeight = 0.3
 	// noiseWeight keeps dispatchers that see the same figures from choosing the same agent.
 	noiseWeight = 0.1
 )
@@ -92,6 +96,9 @@
 	if t.Near != "" && !slices.Contains(c.Labels, t.Near) {
 		s -= slowWeight * max(t.Far-1, 0)
 	}
+	if c.Away {
+		s -= awayWeight
+	}
 	if t.Avoid != "" && t.Avoid == c.ID {
 		s -= avoidWeight
 	}
--- a/internal/proto/order.go
+++ b/internal/proto/order.go
@@ -1,6 +1,8 @@
 package proto
 
 import (
+	"github.com/go-faster/errors"
+
 	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/room"
 )
@@ -106,3 +108,44 @@
 type Inventory struct {
 	Runs []RunRef `cbor:"runs,omitempty"`
 }
+
+// Bounds on amounts in messages: times and numbers that are larger can't be added to each other safely.
+const (
+	maxStamp  = clock.Millis(1) << 52
+	maxAmount = int64(1) << 40
+)
+
+// Check returns why orders can't be followed: a time or an amount that no dispatcher sends.
+func (o *Orders) Check() error {
+	if o.Stamp < 0 || o.Stamp > maxStamp {
+		return errors.Errorf("stamp %d", o.Stamp)
+	}
+	for _, b := range o.Begins {
+		for _, t := range b.Tasks {
+			if t.Task == "" || t.Run < 1 || !isAmount(t.Need) {
+				return errors.Errorf("task %q, run %d, need %v", t.Task, t.Run, t.Need)
+			}
+		}
+	}
+	return nil
+}
+
+// Check returns why a report can't be taken: a number or an amount that no agent sends.
+func (r *Report) Check() error {
+	if f := r.Free; max(f.CPU, f.MemMB, f.GPU) > maxAmount || min(f.CPU, f.MemMB, f.GPU) < -maxAmount {
+		return errors.Errorf("free room %v", f)
+	}
+	if r.Facts != nil && !isAmount(r.Facts.Total) {
+		return errors.Errorf("total room %v", r.Facts.Total)
+	}
+	for _, e := range r.Ends {
+		if e.TookMS < 0 || e.TookMS > maxStamp {
+			return errors.Errorf("task %q took %d", e.Task, e.TookMS)
+		}
+	}
+	return nil
+}
+
+func isAmount(r room.Room) bool {
+	return min(r.CPU, r.MemMB, r.GPU) >= 0 && max(r.CPU, r.MemMB, r.GPU) <= maxAmount
+}
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -17,6 +17,8 @@
 	Lease clock.Millis
 	// Silence is how long a dispatcher may be silent before its runs are stopped.
 	Silence clock.Millis
+	// IdleSilence is how long a dispatcher without runs may be silent before its session is closed; zero stands for Silence.
+	IdleSilence clock.Millis
 	// Reattach is how long a dispatcher has for a new session when the old one was reset.
 	Reattach clock.Millis
 	// LookWait is how long the backend server waits for an end before it answers a look.
@@ -192,25 +194,27 @@
 type peer struct {
 	id shard.ID
 	up bool
-	// offset is the least difference seen between this clock and the dispatcher's.
-	offset clock.Millis
-	heard  clock.Millis
-	downAt clock.Millis
-	stamp  clock.Millis
-	begun  uint64
-	ends   []proto.End
-	lastN  uint64
-	sentN  uint64
+	// offset is the least difference seen between this clock and the dispatcher's, and offsetAt the time up to which it has
+	// been let grow.
+	offset   clock.Millis
+	offsetAt clock.Millis
+	heard    clock.Millis
+	downAt   clock.Millis
+	stamp    clock.Millis
+	begun    uint64
+	ends     []proto.End
+	lastN    uint64
+	sentN    uint64
 	// full says that the next report carries facts and inventory.
 	full  bool
 	dirty bool
 	// wants is the time until which the dispatcher is told of room that becomes free.
 	wants clock.Millis
-	// rank says how pressing that work is; offerAt is when the dispatcher is told of room that was offered to others first.
-	rank    int
-	offerAt clock.Millis
-	// offered is when room was last offered to the dispatcher first.
-	offered clock.Millis
+	// rank says how pressing that work is.
+	rank int
+	// offered is the number of the last offer of room that went to the dispatcher, and round the round of offers that it was in.
+	offered uint64
+	round   uint64
 	echoed  clock.Millis
 }
 
@@ -248,10 +252,19 @@
 	exited      bool
 	unwellUntil clock.Millis
 	health      health
+	// round counts the times that room became free, and offers the offers of it; offerAt is when the next one may be made, while
+	// offering says that there is room to offer.
+	round    uint64
+	offers   uint64
+	offerAt  clock.Millis
+	offering bool
 }
 
 // New creates the state machine of an agent that knows nothing yet.
 func New(cfg Config) *Machine {
+	if cfg.IdleSilence == 0 {
+		cfg.IdleSilence = cfg.Silence
+	}
 	return &Machine{
 		cfg: cfg, gone: map[string]bool{}, peers: map[shard.ID]*peer{}, runs: map[string]*run{}, strangers: map[string]clock.Millis{},
 	}
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -38,6 +38,7 @@
 	}
 	m.checkHeld()
 	m.lookNow()
+	m.offerOn()
 	m.report()
 	return m.out
 }
--- a/internal/runs/peer_controller.go
+++ b/internal/runs/peer_controller.go
@@ -9,8 +9,9 @@
 	"corianderspur.example/corianderspur/internal/shard"
 )
 
-// wantFor is how long a dispatcher that has work waiting is told of changes of the room, in milliseconds.
-const wantFor = 250 * clock.Millis(1)
+// wantFor is how long a dispatcher counts as having work waiting after it has said so, in milliseconds; it says so again
+// twice in that time.
+const wantFor = 1100 * clock.Millis(1)
 
 // forgetPeer is how long a dispatcher without a session or runs is remembered, in milliseconds.
 const forgetPeer = 10 * clock.Second
@@ -64,7 +65,7 @@
 
 // checkPeer stops the runs of a dispatcher whose authority has lapsed.
 func (m *Machine) checkPeer(p *peer) {
-	if p.up && m.now-p.heard <= m.cfg.Silence {
+	if p.up && m.now-p.heard <= m.silenceOf(p) {
 		return
 	}
 	if p.up {
@@ -81,6 +82,14 @@
 	}
 }
 
+// silenceOf returns how long a dispatcher may be silent: authority that nothing runs under needs no heartbeats.
+func (m *Machine) silenceOf(p *peer) clock.Millis {
+	if m.countOf(p) > 0 {
+		return m.cfg.Silence
+	}
+	return m.cfg.IdleSilence
+}
+
 func (m *Machine) haltPeer(p *peer) {
 	for _, task := range m.tasks() {
 		if r := m.runs[task]; r.peer == p.id && r.phase != stopping {
@@ -90,10 +99,21 @@
 	}
 }
 
+// driftSlack covers that the steady clocks of two machines run at different rates, as a divisor of the time passed: several
+// times what the quartz of a machine is off.
+const driftSlack = 1000
+
 // hear takes a stamp of the dispatcher and reports whether the dispatcher's authority reaches to now. The least
-// difference between the two clocks stands for a message without delay.
+// difference between the two clocks stands for a message without delay. It is let grow by as much as the rates of two
+// clocks may differ: the difference that was least once is not the least for ever.
 func (m *Machine) hear(p *peer, stamp clock.Millis) bool {
-	p.offset = min(p.offset, m.now-stamp)
+	if grown := (m.now - p.offsetAt) / driftSlack; grown > 0 && p.offset < maxOffset {
+		p.offset += grown
+		p.offsetAt += grown * driftSlack
+	}
+	if delay := m.now - stamp; delay < p.offset {
+		p.offset, p.offsetAt = delay, m.now
+	}
 	p.heard = max(p.heard, stamp+p.offset)
 	p.stamp = max(p.stamp, stamp)
 	return m.now-(stamp+p.offset) <= m.cfg.Silence
@@ -104,14 +124,15 @@
 	if p == nil || !p.up {
 		return
 	}
+	if err := o.Check(); err != nil {
+		m.note(event.Note{Name: "orders_malformed", Peer: p.id, Reason: err.Error()})
+		m.act(Drop{Peer: p.id})
+		return
+	}
 	valid := m.hear(p, o.Stamp)
 	p.dirty = p.dirty || m.now-p.echoed >= echoEvery
 	m.forgetEnds(p, o.Noted)
-	if o.Want {
-		p.wants = m.now + wantFor
-		p.rank = o.Rank
-		p.dirty = true
-	}
+	m.takeWant(p, o)
 	for _, ref := range o.Halts {
 		m.haltOrder(p, ref)
 	}
@@ -121,6 +142,18 @@
 	}
 }
 
+// takeWant takes note of whether the dispatcher has work waiting; one that begins to wait is told of the room at once.
+func (m *Machine) takeWant(p *peer, o *proto.Orders) {
+	if !o.Want {
+		p.wants = 0
+		return
+	}
+	if m.now >= p.wants || o.Rank < p.rank {
+		p.dirty = true
+	}
+	p.wants, p.rank = m.now+wantFor, o.Rank
+}
+
 // echoEvery bounds the reports that only answer heartbeats, in milliseconds.
 const echoEvery = 50 * clock.Millis(1)
 
@@ -154,14 +187,10 @@
 func (m *Machine) report() {
 	for _, id := range m.peerIDs() {
 		p := m.peers[id]
-		if p.offerAt != 0 && m.now >= p.offerAt {
-			p.dirty = true
-		}
 		if !p.up || !p.dirty {
 			continue
 		}
 		p.dirty = false
-		p.offerAt = 0
 		p.echoed = m.now
 		r := m.state()
 		r.Echo = p.stamp
--- a/internal/runs/run_controller.go
+++ b/internal/runs/run_controller.go
@@ -21,7 +21,7 @@
 		case how == "":
 			m.runs[t.Task] = r
 			m.start(r)
-			m.tellWaiting()
+			m.offerAt = m.now + offerLater
 		case how == proto.HowNoRoom && m.mayHold(r):
 			m.runs[t.Task] = r
 			m.hold(r)
@@ -162,32 +162,65 @@
 	}
 	m.end(r.peer, r.task, r.run, how, took)
 	m.startHeld()
-	m.tellWaiting()
+	m.offerRoom()
 }
 
-// offerLater is how long the others wait to hear of room that was offered to the most pressing work, in milliseconds: a
-// message there, the order back, and a little more.
+// offerLater is how long room stays with the dispatcher that it was offered to before the next one hears of it, in
+// milliseconds: a message there, the order back, and a little more.
 const offerLater = 4 * clock.Millis(1)
 
-// tellWaiting offers a change of the room to one of the dispatchers that have work waiting, and to the others a little
-// later: two that count on the same room begin jobs of which a part has to wait. The most pressing work goes first, and
-// among equals the dispatcher whose last offer is longest ago.
-func (m *Machine) tellWaiting() {
-	var first *peer
+// offerRoom begins to offer room that has become free to the dispatchers that have work waiting.
+func (m *Machine) offerRoom() {
+	m.round++
+	m.offering = true
+	m.offerAt = m.now
+}
+
+// offerOn offers free room to one dispatcher after the other until it is taken: two that count on the same room begin jobs
+// of which a part has to wait, and telling all of each change costs as many messages as there are dispatchers. The most
+// pressing work goes first, and among equals the dispatcher whose last offer is longest ago.
+func (m *Machine) offerOn() {
+	if !m.offering || m.now < m.offerAt {
+		return
+	}
+	first := m.nextOffer()
+	if first == nil || !m.usefulRoom() {
+		m.offering = false
+		return
+	}
+	m.offers++
+	first.offered, first.round = m.offers, m.round
+	first.dirty = true
+	m.offerAt = m.now + offerLater
+}
+
+// nextOffer returns the dispatcher that hears next of the room of this round, or nil.
+func (m *Machine) nextOffer() (first *peer) {
 	for _, id := range m.peerIDs() {
 		p := m.peers[id]
-		if !p.up || m.now >= p.wants {
+		if !p.up || m.now >= p.wants || p.round >= m.round {
 			continue
 		}
-		if p.offerAt == 0 {
-			p.offerAt = m.now + offerLater
-		}
 		if first == nil || p.rank < first.rank || (p.rank == first.rank && p.offered < first.offered) {
 			first = p
 		}
 	}
-	if first != nil {
-		first.offered = m.now
-		first.dirty = true
+	return first
+}
+
+// usefulRoom reports whether a run as small as the smallest one here would fit.
+func (m *Machine) usefulRoom() bool {
+	if m.instance == nil {
+		return false
+	}
+	free := m.instance.Total.Minus(m.used).Minus(m.owed)
+	if len(m.runs) == 0 {
+		return true
+	}
+	for _, r := range m.runs {
+		if free.Fits(r.need) {
+			return true
+		}
 	}
+	return false
 }
