Tell refused callers to come back in the seconds that have room for them

Cause: Retry-After was always 1 s, so that the callers of a burst came back as a burst a second later.

--- a/internal/disp/common.go
+++ b/internal/disp/common.go
@@ -214,6 +214,8 @@
 	jobs    map[string]*job
 	tickets map[uint64]string
 	line    wait.Line
+	// returns tells refused callers when to come back.
+	returns wait.Returns
 	// guards keep room for jobs of the first priority, by service.
 	guards map[string]*wait.Guard
 	// recent remembers the results of ended jobs.
--- a/internal/disp/job_controller.go
+++ b/internal/disp/job_controller.go
@@ -16,7 +16,7 @@
 	keepResults = 10 * clock.Second
 	// lateFactor is how many objectives after its arrival a job is still worth something to its caller.
 	lateFactor = 3
-	// firstRetryAfter is the shortest time after which a refused caller may come back, in milliseconds.
+	// firstRetryAfter is the shortest time after which a caller may come back, in milliseconds.
 	firstRetryAfter = 1 * clock.Second
 )
 
@@ -239,8 +239,15 @@
 
 // finish answers a job's callers and stops what is left of it.
 func (m *Machine) finish(j *job, r Result, reason string) {
+	retryAfter := firstRetryAfter
+	switch r {
+	case Completed:
+		m.returns.Served(m.now)
+	case Refused:
+		retryAfter = m.returns.After(m.now)
+	}
 	for _, t := range j.tickets {
-		m.act(Reply{Ticket: t, Result: r, RetryAfter: firstRetryAfter})
+		m.act(Reply{Ticket: t, Result: r, RetryAfter: retryAfter})
 		delete(m.tickets, t)
 	}
 	n := event.Note{
@@ -251,6 +258,7 @@
 		n.Placed = j.placed - j.received
 	}
 	if r == Refused {
+		n.RetryAfter = retryAfter
 		m.addInputs(&n, j.Service)
 	}
 	m.note(n)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -96,6 +96,8 @@
 	// came back for want of room.
 	Placed   clock.Millis
 	Returned int
+	// RetryAfter is when a refused caller was told to come back, in milliseconds.
+	RetryAfter clock.Millis
 	// Quiet notes are counted and not logged.
 	Quiet bool
 }
--- a/internal/node/notes.go
+++ b/internal/node/notes.go
@@ -50,6 +50,7 @@
 	}
 	add(n.Placed != 0, "placed_ms", int64(n.Placed))
 	add(n.Returned != 0, "returned", n.Returned)
+	add(n.RetryAfter != 0, "retry_after_ms", int64(n.RetryAfter))
 	add(n.Took != 0, "took_ms", int64(n.Took))
 	return kv
 }
