Send nothing to agents whose heartbeat is overdue

Cause: a machine that loses power is noticed after 400 ms by those that have tasks there, after 1 s by others, and until then new tasks went there. Change: agents that should have been heard 150 ms ago are left out, unless all are (then this process was late). Test: TestOverdueAgentsGetNothing, seen red without the change.

--- a/internal/disp/agent_controller.go
+++ b/internal/disp/agent_controller.go
@@ -108,6 +108,15 @@
 	return m.cfg.IdleBeat
 }
 
+// lateBeat is how much later than usual an agent may report before nothing more is sent to it, in milliseconds: more than a busy
+// process is late by, and soon enough that little is lost with a machine that has gone.
+const lateBeat = 150 * clock.Millis(1)
+
+// isOverdue reports whether the agent should have been heard by now.
+func (m *Machine) isOverdue(v *agentView) bool {
+	return m.now-max(v.heard, v.busySince) > m.beatOf(v)+lateBeat
+}
+
 // checkBusy takes note of the agents that have tasks of this dispatcher.
 func (m *Machine) checkBusy() {
 	for _, v := range m.agents {
--- a/internal/disp/choice_controller_test.go
+++ b/internal/disp/choice_controller_test.go
@@ -155,3 +155,21 @@
 	e.do(event.Received{From: "a1/1", Message: proto.Message{Report: &proto.Report{Free: room.Room{CPU: 1 << 62}, Taking: true}}})
 	qt.Check(t, e.out, qt.Any(qt.Equals), event.Action(Drop{Peer: "a1/1"}))
 }
+
+// A machine that has just lost power gets little more: what its agent should have reported is overdue long before it counts as
+// silent. If every agent is overdue, this process itself was late, and work goes on.
+func TestOverdueAgentsGetNothing(t *testing.T) {
+	e := newEntryTest(t, "a1/1", "a2/1")
+	e.submit(1, jobOf(1, 2, 1000))
+	e.pass(260, "a2/1")
+	e.submit(2, jobOf(2, 4, 500))
+	qt.Check(t, e.begun(), qt.DeepEquals, map[shard.ID]int{"a2/1": 4})
+
+	e.now += 260
+	e.submit(3, jobOf(3, 2, 500))
+	n := 0
+	for _, tasks := range e.begun() {
+		n += tasks
+	}
+	qt.Check(t, n, qt.Equals, 2)
+}
--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -39,18 +39,33 @@
 	}
 }
 
+// newPool returns the agents of a service that take tasks. Those whose heartbeat is overdue are left out, as what is sent to a
+// machine that is gone is lost with it; if all are overdue, it is this process that was late.
 func (m *Machine) newPool(service string) *pool {
-	p := &pool{}
+	var prompt, overdue []*agentView
 	for _, id := range m.agentIDs() {
 		v := m.agents[id]
-		if !m.usable(v, service) {
-			continue
+		switch {
+		case !m.usable(v, service):
+		case m.isOverdue(v):
+			overdue = append(overdue, v)
+		default:
+			prompt = append(prompt, v)
 		}
+	}
+	if len(prompt) == 0 {
+		prompt = overdue
+	}
+	return m.poolOf(prompt)
+}
+
+func (m *Machine) poolOf(views []*agentView) *pool {
+	p := &pool{views: views}
+	for _, v := range views {
 		c := place.Candidate{
-			ID: id, Free: v.estimate(), Total: v.facts.Total, Labels: v.facts.Labels, Slow: v.slow, Failing: v.failing,
+			ID: v.id, Free: v.estimate(), Total: v.facts.Total, Labels: v.facts.Labels, Slow: v.slow, Failing: v.failing,
 			Away: m.cfg.Zone != "" && v.facts.Zone != m.cfg.Zone,
 		}
-		p.views = append(p.views, v)
 		p.candidates = append(p.candidates, c)
 		p.total = p.total.Plus(c.Total)
 		if c.Free.CPU > 0 {
--- a/internal/runs/machine_test.go
+++ b/internal/runs/machine_test.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -292,6 +293,37 @@
 	qt.Assert(t, actions[event.Send](a)[0].To, qt.Equals, shard.ID("e1/1"))
 }
 
+// The load pattern of a large fleet at its limit: many dispatchers wait for each agent. Room that the first one has taken is not
+// offered on, so that an end costs one message and not one for each dispatcher.
+func TestRoomThatIsTakenIsNotOfferedOn(t *testing.T) {
+	a := newAgentTest(t)
+	for i := range 30 {
+		a.do(event.SessionUp{Peer: shard.ID(fmt.Sprintf("w%d/1", i))})
+	}
+	a.begin("e1/1", "j1", 4000)
+	a.started("j1")
+	for i := range 30 {
+		a.do(event.Received{From: shard.ID(fmt.Sprintf("w%d/1", i)), Message: proto.Message{
+			Orders: &proto.Orders{Stamp: a.now, Want: true, Rank: 1},
+		}})
+	}
+	a.do(Looked{Number: a.m.look.Number, Outcome: OrderDone, Born: 1, Ended: []Ended{{N: 1, Task: "j1.0.0.0", Run: 1, How: proto.HowDone}}})
+	told := 0
+	for _, s := range actions[event.Send](a) {
+		if s.To != "e1/1" {
+			told++
+			a.begin(s.To, "j2", 4000)
+		}
+	}
+	qt.Assert(t, told, qt.Equals, 1)
+	a.started("j2")
+	for range 10 {
+		a.now += offerLater
+		a.do(event.Tick{})
+		qt.Check(t, actions[event.Send](a), qt.HasLen, 0)
+	}
+}
+
 // A backend server that has announced its end gets nothing new; what runs there may end.
 func TestDrainingBackendServerTakesNothingNew(t *testing.T) {
 	a := newAgentTest(t)
