Log a steady time beside the time of day; say why a job waits for a sixth of its objective

Cause: on the large fleet the time of day jumps; lines of one process could not be put in order afterwards. Durations and leases were on a steady clock before. Change: each line has up_ms. Failed try beside it: jobs that wait for a half or a quarter of the time between their run and their objective. The share stays; its comment gives the callers' reason instead of a price.

--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -8,8 +8,13 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"corianderspur.example/corianderspur/internal/clock"
 )
 
+// timeFormat is the time of day in a line, to the millisecond.
+const timeFormat = "2006-01-02T15:04:05.000Z"
+
 const (
 	// maxWaiting bounds the bytes that wait to be written.
 	maxWaiting = 256 << 10
@@ -33,10 +38,24 @@
 func New(out io.Writer, process string) (log logr.Logger, flush func()) {
 	w := &writer{out: out, wake: make(chan struct{}, 1), done: make(chan struct{})}
 	go w.run()
-	log = logr.FromSlogHandler(slog.NewTextHandler(w, nil)).WithValues("process", process)
+	options := &slog.HandlerOptions{ReplaceAttr: addSteadyTime(clock.NewBoot())}
+	log = logr.FromSlogHandler(slog.NewTextHandler(w, options)).WithValues("process", process)
 	return log, w.close
 }
 
+// addSteadyTime puts the milliseconds since the start of the process beside the time of day, which may jump in either direction: the
+// lines of one process stay in order by it, and their distances true.
+func addSteadyTime(steady clock.Clock) func(groups []string, a slog.Attr) slog.Attr {
+	return func(groups []string, a slog.Attr) slog.Attr {
+		if len(groups) > 0 || a.Key != slog.TimeKey || a.Value.Kind() != slog.KindTime {
+			return a
+		}
+		return slog.Attr{Value: slog.GroupValue(
+			slog.String(slog.TimeKey, a.Value.Time().UTC().Format(timeFormat)), slog.Int64("up_ms", int64(steady.Now())),
+		)}
+	}
+}
+
 // Write takes one line.
 func (w *writer) Write(line []byte) (int, error) {
 	w.mu.Lock()
--- a/internal/wait/line.go
+++ b/internal/wait/line.go
@@ -47,8 +47,9 @@
 	return rankOther
 }
 
-// holdShare is the part of a job's objective for which it may wait before it is refused. The operators count a request
-// as held from a quarter on; the rest covers that estimates are rough.
+// holdShare is the part of a job's objective for which it may wait before it is refused. The rest covers that its slowest task
+// takes longer than the estimate: a caller is better served by a true refusal while it can still come back than by a late answer,
+// and while room is short each late answer takes the room of one in time.
 const holdShare = 0.16
 
 // nearShare is the part of the time until its refusal for which a job waits for room near its data.
