--- a/internal/runs/hold_controller_test.go
+++ b/internal/runs/hold_controller_test.go
@@ -20,9 +20,10 @@
 	return a
 }
 
-func (a *agentTest) endOf(job string, n uint64) {
+// endFirst reports that the first run is done.
+func (a *agentTest) endFirst() {
 	a.do(Looked{Number: a.m.look.Number, Outcome: OrderDone, Born: a.m.instance.Born, Ended: []Ended{
-		{N: n, Task: job + ".0.0.0", Run: 1, How: proto.HowDone},
+		{N: 1, Task: "j1.0.0.0", Run: 1, How: proto.HowDone},
 	}})
 }
 
@@ -31,7 +32,7 @@
 func TestHeldRunStartsWhenRoomBecomesFree(t *testing.T) {
 	a := holding(t)
 	qt.Assert(t, a.m.state().Free.CPU, qt.Equals, int64(-1000))
-	a.endOf("j1", 1)
+	a.endFirst()
 	starts := actions[StartRun](a)
 	qt.Assert(t, starts, qt.HasLen, 1)
 	qt.Check(t, starts[0].Task, qt.Equals, "j2.0.0.0")
@@ -45,7 +46,7 @@
 		Stamp: a.now, Halts: []proto.RunRef{{Task: "j2.0.0.0", Run: 1}},
 	}}})
 	qt.Assert(t, a.ends("e2/1"), qt.DeepEquals, []proto.How{proto.HowNoRoom})
-	a.endOf("j1", 1)
+	a.endFirst()
 	qt.Assert(t, actions[StartRun](a), qt.HasLen, 0)
 }
 
@@ -61,7 +62,7 @@
 func TestHeldRunOfALostDispatcherDoesNotStart(t *testing.T) {
 	a := holding(t)
 	a.do(event.SessionDown{Peer: "e2/1"})
-	a.endOf("j1", 1)
+	a.endFirst()
 	qt.Assert(t, actions[StartRun](a), qt.HasLen, 0)
 	qt.Assert(t, a.m.runs, qt.HasLen, 0)
 }
@@ -99,7 +100,7 @@
 	first := a.beginOf("j4", 2000)
 	first.Rank = 1
 	a.orders("e1/1", a.now, first)
-	a.endOf("j1", 1)
+	a.endFirst()
 	starts := actions[StartRun](a)
 	qt.Assert(t, starts, qt.HasLen, 2)
 	qt.Check(t, starts[0].Task, qt.Equals, "j4.0.0.0")
