Measure the use of capacity while work waits, and what binds refused jobs

Cause: the log said only no_room; whether room was short, reserved or unknown could not be told, nor how long freed capacity idles. Change: agents account for used and usable capacity and for the time between the end of a run and the next start while work waits, and note it once a second; job lines carry the core time used and whether the objective was missed; refusals say what bound them (full, fragments, reservation, order). The same figures are counters.

--- a/internal/disp/common.go
+++ b/internal/disp/common.go
@@ -157,6 +157,8 @@
 	remaining []int
 	queued    wait.Job
 	hasLost   bool
+	// work is what ended runs of the job have used, in thousandths of a core times milliseconds.
+	work int64
 	// lastSent is when a task was last sent, and returned is the number of runs that agents returned for lack of room.
 	lastSent clock.Millis
 	returned int
--- a/internal/disp/job_controller.go
+++ b/internal/disp/job_controller.go
@@ -252,7 +252,7 @@
 	}
 	n := event.Note{
 		Name: "job_" + string(r), Job: j.ID, Class: j.Queue, Reason: reason, Count: len(j.tasks), Took: m.now - j.received,
-		Returned: j.returned,
+		Returned: j.returned, Work: j.work, Late: r == Completed && m.now > j.received+j.queued.Objective,
 	}
 	if j.lastSent > 0 {
 		n.Placed = j.lastSent - j.received
@@ -260,6 +260,7 @@
 	if r == Refused {
 		n.RetryAfter = retryAfter
 		m.addDecisionInputs(&n, j.Service)
+		n.Binding = m.binding(j)
 	}
 	m.note(n)
 	if r == Completed || r == Failed || r == Cancelled {
--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -233,3 +233,18 @@
 		}
 	}
 }
+
+// binding returns what keeps a waiting job from being placed, by the room that this dispatcher knows of.
+func (m *Machine) binding(j *job) string {
+	p := m.newPool(j.Service)
+	_, needs := m.waitingTasks(j, false)
+	switch {
+	case !p.free.Fits(j.waitingNeed()):
+		return "full"
+	case slices.Contains(place.Choose(slices.Clone(p.candidates), needs, m.rng), -1):
+		return "fragments"
+	case !p.free.Minus(m.headroom(j, p)).Fits(j.waitingNeed()):
+		return "reservation"
+	}
+	return "order"
+}
--- a/internal/disp/run_outcomes.go
+++ b/internal/disp/run_outcomes.go
@@ -15,6 +15,7 @@
 	if t == nil || t.run != e.Run || t.agent != v.id || (t.state != sent && t.state != lost) {
 		return
 	}
+	j.work += int64(e.TookMS) * j.Steps[t.step].Need.CPU
 	switch e.How {
 	case proto.EndDone:
 		m.taskDone(v, j, t, e)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -99,6 +99,25 @@
 	Returned int
 	// RetryAfter is the delay after which a refused caller was told to retry, in milliseconds.
 	RetryAfter clock.Millis
+	// Binding says what kept a refused job from being placed on the room that the dispatcher knew of.
+	Binding string
+	// Work is what the runs of a job have used when it ends, in thousandths of a core times milliseconds; Late says that it
+	// missed its objective.
+	Work int64
+	Late bool
+	// Usage is set in the notes on the use of a backend server.
+	Usage *Usage
 	// Quiet notes are counted but not logged.
 	Quiet bool
 }
+
+// Usage says how a backend server was used while work waited for its capacity. Times are in milliseconds.
+type Usage struct {
+	// UsedCoreMS and UsableCoreMS are the capacity that runs took and the capacity that there was, in cores times milliseconds.
+	UsedCoreMS   int64
+	UsableCoreMS int64
+	// Reused counts the runs that took the capacity of an ended run; IdleP50 and IdleP99 are percentiles of the time between.
+	Reused  int
+	IdleP50 clock.Millis
+	IdleP99 clock.Millis
+}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -34,6 +34,10 @@
 	response metric.Int64Histogram
 	wait     metric.Int64Histogram
 	version  metric.Int64Gauge
+	// capacity and idle say how backend servers are used while work waits, work what the runs of ended jobs have used.
+	capacity metric.Int64Counter
+	idle     metric.Int64Histogram
+	work     metric.Int64Counter
 
 	mu    sync.Mutex
 	names map[string]bool
@@ -76,6 +80,15 @@
 	if m.wait, err = mt.Int64Histogram("corianderspur.queue_wait_ms", buckets); err != nil {
 		return err
 	}
+	if m.idle, err = mt.Int64Histogram("corianderspur.idle_while_work_waits_p99_ms", buckets); err != nil {
+		return err
+	}
+	if m.capacity, err = mt.Int64Counter("corianderspur.capacity_while_work_waits_core_ms"); err != nil {
+		return err
+	}
+	if m.work, err = mt.Int64Counter("corianderspur.work_core_ms"); err != nil {
+		return err
+	}
 	m.version, err = mt.Int64Gauge("corianderspur.configuration_version")
 	return err
 }
@@ -97,12 +110,17 @@
 		count = 1
 	case "job_completed", "job_failed", "job_refused", "job_unknown", "job_cancelled":
 		m.response.Record(ctx, int64(n.Took), metric.WithAttributes(class, attribute.String("result", n.Name)))
+		m.work.Add(ctx, n.Work/1000, metric.WithAttributes(class, attribute.String("result", n.Name), attribute.Bool("late", n.Late)))
 		count = 1
 	case "job_begun":
 		m.wait.Record(ctx, int64(n.Took), metric.WithAttributes(class))
 		count = 1
 	case "backend_server", "backend_server_drains", "backend_server_left", "backend_server_reborn":
 		count = 1
+	case "usage_while_work_waits":
+		m.capacity.Add(ctx, n.Usage.UsedCoreMS, metric.WithAttributes(attribute.String("state", "used")))
+		m.capacity.Add(ctx, n.Usage.UsableCoreMS-n.Usage.UsedCoreMS, metric.WithAttributes(attribute.String("state", "idle")))
+		m.idle.Record(ctx, int64(n.Usage.IdleP99))
 	case "task_started":
 		m.wait.Record(ctx, int64(n.Took), metric.WithAttributes(class, m.tenant(n.Tenant)))
 	case "configuration_adopted":
@@ -111,7 +129,7 @@
 		reason = ""
 	}
 	m.events.Add(ctx, count, metric.WithAttributes(
-		attribute.String("name", n.Name), attribute.String("reason", reason), class))
+		attribute.String("name", n.Name), attribute.String("reason", reason), attribute.String("binding", n.Binding), class))
 }
 
 func (m *Meter) tenant(name string) attribute.KeyValue {
--- a/internal/node/notes.go
+++ b/internal/node/notes.go
@@ -48,6 +48,13 @@
 	if n.Agents != 0 {
 		kv = append(kv, "agents", n.Agents, "free", n.Free, "age_ms", int64(n.Age), "waiting", n.Waiting)
 	}
+	add(n.Binding != "", "binding", n.Binding)
+	add(n.Work != 0, "core_ms", n.Work/1000)
+	add(n.Late, "late", n.Late)
+	if u := n.Usage; u != nil {
+		kv = append(kv, "used_core_ms", u.UsedCoreMS, "usable_core_ms", u.UsableCoreMS, "reused", u.Reused,
+			"idle_p50_ms", int64(u.IdleP50), "idle_p99_ms", int64(u.IdleP99))
+	}
 	add(n.Placed != 0, "placed_ms", int64(n.Placed))
 	add(n.Returned != 0, "returned", n.Returned)
 	add(n.RetryAfter != 0, "retry_after_ms", int64(n.RetryAfter))
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -254,6 +254,7 @@
 	exited         bool
 	backoffUntil   clock.Millis
 	health         health
+	usage          usage
 	// offerRound counts the times that capacity became free, lastOffer the offers; nextOfferAt is when the next may be made, and
 	// offering says that there is capacity to offer.
 	offerRound  uint64
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -12,6 +12,7 @@
 func (m *Machine) Handle(now clock.Millis, ev event.Event) []event.Action {
 	m.now = now
 	m.out = nil
+	m.updateUsage()
 	switch ev := ev.(type) {
 	case event.SessionUp:
 		m.handleSessionUp(ev)
--- a/internal/runs/run_controller.go
+++ b/internal/runs/run_controller.go
@@ -35,6 +35,7 @@
 func (m *Machine) startRun(r *run) {
 	r.phase = starting
 	r.startedAt = m.now
+	m.usage.capacityReused(m.now)
 	m.used = m.used.Plus(r.need)
 	m.leaseRenewedAt = m.now
 	m.emit(StartRun{
@@ -156,6 +157,7 @@
 	}
 	delete(m.runs, r.task)
 	m.used = m.used.Minus(r.need)
+	m.usage.capacityFreed(m.now)
 	runTime := clock.Millis(0)
 	if r.workingSince > 0 {
 		runTime = m.now - r.workingSince
