Measure the pace of a backend server at its agent; end runs of a process that is gone at once

Cause: (1) a backend server that turns slow beside full ones is the only one with room, so that it draws tasks, and a wide job is late for one of them; dispatchers learned its speed only from runs that had ended. Change: (1) agents measure the progress of their runs against the estimates and report it; dispatchers compare it with the median and send a task to a slow server only if its job can still meet its objective there, or can't in any case. It replaces the mean of ended runs. (2) Two polls in a row with refused connections end all runs there; a start with a refused connection counts as not begun. Tests: TestSlowBackendServerGetsOnlyWhatFitsItsSpeed, TestRunsOfABackendServerThatIsGoneEndAtOnce, seen red.

--- a/internal/disp/agent_controller.go
+++ b/internal/disp/agent_controller.go
@@ -17,7 +17,7 @@
 	v := m.agents[id]
 	if v == nil {
 		name, _, _ := strings.Cut(string(id), "/")
-		v = &agentView{id: id, name: name, slowness: 1}
+		v = &agentView{id: id, name: name}
 		m.agents[id] = v
 		m.sortedIDs = nil
 	}
@@ -176,7 +176,7 @@
 	}
 	v.lastReport = m.now
 	mayFit := r.Accepting && (!v.accepting || r.Free.CPU > v.free.CPU || r.Free.MemMB > v.free.MemMB || len(r.Ends) > 0)
-	v.free, v.accepting, v.settled, v.ackedSeq = r.Free, r.Accepting, r.Settled, r.LastBegin
+	v.free, v.accepting, v.settled, v.ackedSeq, v.pace = r.Free, r.Accepting, r.Settled, r.LastBegin, r.Pace
 	if r.Facts != nil {
 		v.facts = *r.Facts
 		mayFit = true
--- a/internal/disp/common.go
+++ b/internal/disp/common.go
@@ -179,13 +179,14 @@
 	busy      bool
 	busySince clock.Millis
 	// wantSentAt is when the agent was last told that tasks of rank wantRank are waiting; zero if the last message didn't say so.
-	wantSentAt  clock.Millis
-	wantRank    int
-	beginSeq    uint64
-	ackedSeq    uint64
-	inFlight    []inFlightTask
-	lastEnd     uint64
-	slowness    float64
+	wantSentAt clock.Millis
+	wantRank   int
+	beginSeq   uint64
+	ackedSeq   uint64
+	inFlight   []inFlightTask
+	lastEnd    uint64
+	// pace is the agent's measure of its backend server's speed; zero is unknown.
+	pace        float64
 	failureRate float64
 	// downAt is when the session was lost; zero while it is up.
 	downAt clock.Millis
--- a/internal/disp/machine_test.go
+++ b/internal/disp/machine_test.go
@@ -344,3 +344,29 @@
 	}
 	qt.Assert(t, results, qt.DeepEquals, map[uint64]Result{1: Unknown, 2: Refused})
 }
+
+// One backend server has turned slow beside two that are full, so that it alone has room. A job that would be late there waits
+// for the others instead of being spoiled by one slow task.
+func TestSlowBackendServerGetsOnlyWhatFitsItsSpeed(t *testing.T) {
+	e := newEntryTest(t, "a1/1", "a2/1", "a3/1")
+	total := room.Resources{CPU: 4000, MemMB: 1000}
+	e.report("a1/1", proto.Report{Free: total, Accepting: true, Settled: true, Pace: 0.125})
+	e.report("a2/1", proto.Report{Accepting: true, Settled: true, Pace: 1.1})
+	e.report("a3/1", proto.Report{Accepting: true, Settled: true, Pace: 0.9})
+	e.submit(1, jobOf(1, 2, 1000))
+	qt.Assert(t, e.sentTasks(), qt.HasLen, 0)
+
+	e.now += 10
+	e.report("a2/1", proto.Report{Free: total, Accepting: true, Settled: true, Pace: 1.1})
+	qt.Assert(t, e.sentTasks(), qt.DeepEquals, map[shard.ID]int{"a2/1": 2})
+}
+
+// Estimates of all run times are wrong by the same factor: no backend server counts as slow.
+func TestWrongEstimatesMakeNoBackendServerSlow(t *testing.T) {
+	views := []*agentView{{pace: 0.3}, {pace: 0.35}, {pace: 0.28}, {}}
+	for _, v := range views {
+		qt.Check(t, v.slowness(normalPace(views)), qt.Equals, 1.0)
+	}
+	views[2].pace = 0.075
+	qt.Check(t, views[2].slowness(normalPace(views)), qt.Equals, 4.0)
+}
--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -61,14 +61,15 @@
 
 func (m *Machine) poolOf(views []*agentView) *pool {
 	p := &pool{views: views}
+	normal := normalPace(views)
 	for _, v := range views {
 		c := place.Candidate{
-			ID: v.id, Free: v.estimatedFree(), Total: v.facts.Total, Labels: v.facts.Labels, Slow: v.slowness, Failing: v.failureRate,
+			ID: v.id, Free: v.estimatedFree(), Total: v.facts.Total, Labels: v.facts.Labels, Slow: v.slowness(normal), Failing: v.failureRate,
 			Remote: m.cfg.Zone != "" && v.facts.Zone != m.cfg.Zone,
 		}
 		p.candidates = append(p.candidates, c)
 		p.total = p.total.Plus(c.Total)
-		if c.Free.CPU > 0 {
+		if c.Free.CPU > 0 && c.Slow == 1 {
 			p.free = p.free.Plus(c.Free)
 		}
 	}
@@ -182,10 +183,11 @@
 			continue
 		}
 		step := j.Steps[t.step]
+		maxSlow := m.maxSlowness(j, step)
 		tasks = append(tasks, t)
 		needs = append(needs, place.Task{
 			Need: step.Need, Requires: step.Requires, Near: step.Near, Far: m.cfg.RemoteFactor,
-			OnlyNear: near && step.Near != "", Limit: step.Limit, Avoid: t.avoid,
+			OnlyNear: near && step.Near != "", Limit: step.Limit, Avoid: t.avoid, MaxSlow: maxSlow,
 		})
 	}
 	return tasks, needs
--- a/internal/disp/run_outcomes.go
+++ b/internal/disp/run_outcomes.go
@@ -71,7 +71,7 @@
 	t.ran = true
 	j.remaining[t.step]--
 	v.failureRate -= ewmaWeight * v.failureRate
-	m.recordDuration(v, j, t, e.TookMS)
+	m.recordDuration(j, t, e.TookMS)
 	if j.remaining[t.step] == 0 {
 		m.unblockTasks(j)
 		m.placementDue = true
@@ -97,15 +97,14 @@
 	m.requeue(j, t)
 }
 
-// recordDuration updates the ratio of actual to estimated duration, for a task's queue and for its agent.
-func (m *Machine) recordDuration(v *agentView, j *job, t *task, took clock.Millis) {
+// recordDuration updates the ratio of actual to estimated duration of a task's queue.
+func (m *Machine) recordDuration(j *job, t *task, took clock.Millis) {
 	est := j.Steps[t.step].Estimate
 	if est <= 0 || took <= 0 {
 		return
 	}
 	ratio := float64(took) / float64(est)
 	tm := m.timingOf(j.Queue)
-	v.slowness += ewmaWeight * (min(ratio/tm.ratio, 10) - v.slowness)
 	tm.ratio += ewmaWeight / 4 * (min(ratio, 10) - tm.ratio)
 }
 
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -38,6 +38,8 @@
 	OnlyNear bool
 	// Limit excludes candidates whose Held has reached it; zero means no limit.
 	Limit int
+	// MaxSlow excludes candidates that are slower, unless they are of normal speed; zero means no limit.
+	MaxSlow float64
 	// Avoid is an agent on which the task has failed.
 	Avoid shard.ID
 }
@@ -77,7 +79,7 @@
 	index, topScore := -1, math.Inf(-1)
 	for i := range candidates {
 		c := &candidates[i]
-		if !c.Free.Fits(t.Need) || !Allowed(c.Labels, t) || (t.Limit > 0 && c.Placed >= t.Limit) {
+		if !c.Free.Fits(t.Need) || !Allowed(c.Labels, t) || (t.Limit > 0 && c.Placed >= t.Limit) || isTooSlow(c, t) {
 			continue
 		}
 		if s := score(c, t) + jitterWeight*rng.Float64(); s > topScore {
@@ -87,6 +89,11 @@
 	return index
 }
 
+// isTooSlow reports whether the task would take too long there.
+func isTooSlow(c *Candidate, t Task) bool {
+	return t.MaxSlow > 0 && c.Slow > max(t.MaxSlow, 1)
+}
+
 // Allowed reports whether a backend server with these labels may run the task.
 func Allowed(labels []string, t Task) bool {
 	return (t.Requires == "" || slices.Contains(labels, t.Requires)) && (!t.OnlyNear || slices.Contains(labels, t.Near))
--- a/internal/proto/order.go
+++ b/internal/proto/order.go
@@ -92,6 +92,8 @@
 	// Settled says that the backend server runs nothing but what this agent has accepted.
 	Settled bool  `cbor:"settled"`
 	Ends    []End `cbor:"ends,omitempty"`
+	// Pace is the progress of the runs at the backend server lately, as estimated run time per run time; zero is unknown.
+	Pace float64 `cbor:"pace,omitempty"`
 	// Facts is included if it changed, and in the first report of a session.
 	Facts *Facts `cbor:"facts,omitempty"`
 	// Inventory lists the dispatcher's runs in the first report of a session.
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -87,6 +87,8 @@
 	OrderRefused Outcome = "refused"
 	// OrderGone means that this incarnation of the backend server has ended.
 	OrderGone Outcome = "gone"
+	// OrderUnreachable means that nothing was done, since no process accepts connections at the backend server's address.
+	OrderUnreachable Outcome = "unreachable"
 	// OrderUnknown means that no answer came; the order may be carried out later.
 	OrderUnknown Outcome = "unknown"
 )
@@ -178,6 +180,10 @@
 	firstPoll uint64
 	// startUncertain says that the start got no answer, so the run may still appear.
 	startUncertain bool
+	// estimate is the estimated run time in milliseconds; polledPercent and polledAt are the progress of the last poll.
+	estimate      clock.Millis
+	polledPercent float64
+	polledAt      clock.Millis
 	// percent is how much of the task was done at the last progress, at progressAt.
 	percent    float64
 	progressAt clock.Millis
@@ -255,6 +261,7 @@
 	backoffUntil   clock.Millis
 	health         health
 	usage          usage
+	pace           pace
 	// offerRound counts the times that capacity became free, lastOffer the offers; nextOfferAt is when the next may be made, and
 	// offering says that there is capacity to offer.
 	offerRound  uint64
--- a/internal/runs/health_controller.go
+++ b/internal/runs/health_controller.go
@@ -20,6 +20,9 @@
 	// the number after which no tasks are accepted, until one is answered. Single answers get lost at times.
 	noRenewAfter = 2
 	silentAfter  = 4
+	// goneAfter is the number of polls in a row whose connection was refused after which the backend server's process counts as
+	// ended, and its runs with it: the agent runs on the same machine, so that it is not the network that refuses.
+	goneAfter = 2
 )
 
 // health tracks the failures of runs at the backend server and the orders that it left unanswered.
@@ -31,10 +34,12 @@
 	probation     bool
 	ejectDuration clock.Millis
 	unanswered    int
+	// unreachable counts polls in a row whose connection was refused.
+	unreachable int
 }
 
 func (h *health) resetUnanswered() {
-	h.unanswered = 0
+	h.unanswered, h.unreachable = 0, 0
 }
 
 // accepting reports whether another task may be accepted beside the running ones.
@@ -89,6 +94,7 @@
 	if r == nil || r.run != status.Run || r.phase != running {
 		return
 	}
+	m.pace.progressed(m.now, r, status.Percent)
 	if status.Percent > r.percent || r.progressAt == 0 {
 		r.percent = status.Percent
 		r.progressAt = m.now
--- a/internal/runs/lease_controller.go
+++ b/internal/runs/lease_controller.go
@@ -63,6 +63,7 @@
 	m.poll = nil
 	m.backoffUntil = 0
 	m.health = health{}
+	m.pace = pace{}
 	clear(m.orphans)
 	m.note(event.Note{Name: "backend_server", Instance: in.ID, Count: int(in.Total.CPU)})
 	m.markAllFull()
@@ -183,6 +184,9 @@
 	case ev.Outcome != OrderDone:
 		m.nextPollAt = m.now + pollBackoff
 		m.countUnanswered()
+		if ev.Outcome == OrderUnreachable {
+			m.handleUnreachable()
+		}
 		m.expireLease()
 		return
 	case m.instance == nil || ev.Born < m.instance.Born:
@@ -207,6 +211,15 @@
 	}
 }
 
+// handleUnreachable ends all runs once the backend server's process counts as ended.
+func (m *Machine) handleUnreachable() {
+	m.health.unreachable++
+	if m.health.unreachable >= goneAfter && m.instance != nil {
+		m.note(event.Note{Name: "backend_server_unreachable", Instance: m.instance.ID, Count: len(m.runs)})
+		m.handleInstanceLost()
+	}
+}
+
 // expireLease counts all runs as ended and reports their ends once the last renewed lease has lapsed on the backend server's
 // clock. It sends no stops.
 func (m *Machine) expireLease() {
@@ -232,6 +245,9 @@
 		m.note(event.Note{Name: "run_lapsed", Job: r.task, Peer: r.peer, Took: m.now - r.startedAt})
 	}
 	m.recordOutcome(r, e.How)
+	if e.How == proto.EndDone {
+		m.pace.progressed(m.now, r, percentDone)
+	}
 	if r.stalled && e.How == proto.EndStopped {
 		e.How = proto.EndStalled
 	}
--- a/internal/runs/machine_test.go
+++ b/internal/runs/machine_test.go
@@ -356,3 +356,44 @@
 	a.handle(event.Tick{})
 	qt.Assert(t, actions[event.Exit](a), qt.HasLen, 1)
 }
+
+// The process of a backend server has ended with all that ran in it: its machine refuses connections. The dispatchers hear of the
+// ends at once and can start the tasks elsewhere in time, instead of after the lease.
+func TestRunsOfABackendServerThatIsGoneEndAtOnce(t *testing.T) {
+	a := newAgentTest(t)
+	a.begin("e1/1", "j1", 1000)
+	a.confirmStart("j1")
+	refuse := func() {
+		a.advance(40)
+		qt.Assert(t, a.m.poll, qt.IsNotNil)
+		a.handle(PollDone{Number: a.m.poll.Number, Outcome: OrderUnreachable})
+	}
+	refuse()
+	qt.Assert(t, a.reportedEnds("e1/1"), qt.HasLen, 0)
+	refuse()
+	qt.Check(t, a.reportedEnds("e1/1"), qt.DeepEquals, []proto.EndReason{proto.EndStopped})
+	qt.Check(t, a.m.accepting(), qt.IsFalse)
+
+	a.advance(40)
+	a.handle(Announced{Instance: instance(2)})
+	a.answerPoll()
+	qt.Check(t, a.m.accepting(), qt.IsTrue)
+}
+
+// One refused connection is not enough, and a start whose connection was refused has not begun.
+func TestAnsweredPollForgetsARefusedConnection(t *testing.T) {
+	a := newAgentTest(t)
+	a.begin("e1/1", "j1", 1000)
+	a.confirmStart("j1")
+	for range 3 {
+		a.advance(40)
+		a.handle(PollDone{Number: a.m.poll.Number, Outcome: OrderUnreachable})
+		a.advance(40)
+		a.answerPoll(Running{Task: "j1.0.0.0", Run: 1, Percent: 50})
+	}
+	qt.Check(t, a.reportedEnds("e1/1"), qt.HasLen, 0)
+
+	a.begin("e2/1", "j2", 1000)
+	a.handle(StartDone{Task: "j2.0.0.0", Run: 1, Outcome: OrderUnreachable})
+	qt.Check(t, a.reportedEnds("e2/1"), qt.DeepEquals, []proto.EndReason{proto.EndNotBegun})
+}
--- a/internal/runs/run_controller.go
+++ b/internal/runs/run_controller.go
@@ -16,7 +16,7 @@
 		if how == proto.EndNoRoom {
 			p.wantsUntil = m.now + wantTTL
 		}
-		r := &run{peer: p.id, task: t.Task, run: t.Run, need: t.Need, rank: b.Rank, spec: b.Spec}
+		r := &run{peer: p.id, task: t.Task, run: t.Run, need: t.Need, rank: b.Rank, spec: b.Spec, estimate: t.EstimateMS}
 		switch {
 		case how == "":
 			m.runs[t.Task] = r
@@ -87,6 +87,7 @@
 	if r.phase == starting {
 		r.phase = running
 		r.workingSince = m.now
+		r.polledAt = m.now
 		r.progressAt = m.now
 	}
 	r.firstPoll = m.lastPoll + 1
@@ -98,7 +99,7 @@
 	if o == OrderNoRoom {
 		how = proto.EndNoRoom
 	}
-	if o == OrderRefused {
+	if o == OrderRefused || o == OrderUnreachable {
 		m.backoffUntil = m.now + refusedBackoff
 		m.markAllDirty()
 	}
