Advance the agent's clock in the test of its pace

Cause: the test read a report without an event after its last advance of the clock, so that the value did not age. Change: a tick. Measured: go test ./internal/runs passes.

--- a/internal/runs/pace_test.go
+++ b/internal/runs/pace_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/event"
 	"corianderspur.example/corianderspur/internal/proto"
 	"corianderspur.example/corianderspur/internal/room"
 )
@@ -47,5 +48,6 @@
 
 	// What is not measured for a while is not known: the backend server may have recovered.
 	a.now += paceTTL + 1
+	a.handle(event.Tick{})
 	qt.Check(t, a.m.newReport().Pace, qt.Equals, 0.0)
 }
