--- a/internal/emul/proc.go
+++ b/internal/emul/proc.go
@@ -1,6 +1,8 @@
 package emul
 
 import (
+	"strings"
+
 	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/disp"
 	"corianderspur.example/corianderspur/internal/event"
@@ -113,15 +115,14 @@
 }
 
 func (w *World) send(p *proc, to shard.ID, msg proto.Message) {
-	for _, s := range w.sessionsOf(p) {
-		switch {
-		case s.entry == p && s.agentID == to && s.entryUp && s.entryID == p.id:
-			s.toAgent = append(s.toAgent, msg)
-			w.after(latency, s.flush)
-		case s.agent == p && s.entryID == to && s.agentUp && s.agentID == p.id:
-			s.toEntry = append(s.toEntry, msg)
-			w.after(latency, s.flush)
-		}
+	peer, _, _ := strings.Cut(string(to), "/")
+	if s := w.sessions[[2]string{p.name, peer}]; s != nil && s.agentID == to && s.entryUp && s.entryID == p.id {
+		s.toAgent = append(s.toAgent, msg)
+		w.after(latency, s.flush)
+	}
+	if s := w.sessions[[2]string{peer, p.name}]; s != nil && s.entryID == to && s.agentUp && s.agentID == p.id {
+		s.toEntry = append(s.toEntry, msg)
+		w.after(latency, s.flush)
 	}
 }
 
--- a/internal/emul/runner.go
+++ b/internal/emul/runner.go
@@ -65,7 +65,7 @@
 
 // advance finishes the runs that have ended by now, and stops all others if the lease has lapsed.
 func (r *backend) advance() {
-	if !r.up {
+	if !r.up || !r.isDue() {
 		return
 	}
 	for _, task := range sortedKeys(r.runs) {
@@ -82,6 +82,16 @@
 	}
 }
 
+// isDue reports whether a run has ended by now, or has lost its lease.
+func (r *backend) isDue() bool {
+	for _, run := range r.runs {
+		if r.world.now >= r.leaseUntil || (!run.endless && run.endsAt <= r.world.now) {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *backend) finish(run *activeRun, how proto.EndReason, lapsed bool) {
 	delete(r.runs, run.task)
 	r.lastEnd++
--- a/internal/study/central.go
+++ b/internal/study/central.go
@@ -17,11 +17,13 @@
 	// Earned and Offered hold the worth by second of arrival, and Waits the time until the last task was placed, in milliseconds.
 	Earned  []float64
 	Offered []float64
+	// ByKind holds the worth earned by kind of request.
+	ByKind map[string]float64
 }
 
 func (l *Load) newOutcome() *Outcome {
 	seconds := int(l.Length/clock.Second) + 1
-	o := &Outcome{Earned: make([]float64, seconds), Offered: make([]float64, seconds)}
+	o := &Outcome{Earned: make([]float64, seconds), Offered: make([]float64, seconds), ByKind: map[string]float64{}}
 	for _, j := range l.Jobs {
 		o.Offered[j.At/clock.Second] += j.Worth
 	}
@@ -31,6 +33,7 @@
 func (o *Outcome) answered(j Job, at clock.Millis) {
 	worth := j.worthAt(at)
 	o.Worth += worth
+	o.ByKind[j.Kind] += worth
 	o.Earned[j.At/clock.Second] += worth
 	if at-j.At <= j.Objective {
 		o.InTime++
--- a/internal/study/patterns.go
+++ b/internal/study/patterns.go
@@ -41,6 +41,10 @@
 		fast[i].Work /= 4
 		fast[i].Rate *= 4
 	}
+	large := kinds()
+	for i := range large {
+		large[i].Rate *= 4
+	}
 	return []Pattern{
 		{Name: "calm", Kinds: kinds(), Entries: 3, Servers: servers(11)},
 		{Name: "burst", Kinds: kinds(), Entries: 3, Servers: servers(8), Surges: []Surge{{calm, trouble, 1.3}}},
@@ -52,6 +56,7 @@
 		{Name: "many-entries", Kinds: kinds(), Entries: 9, Servers: servers(8), Surges: []Surge{{calm, trouble, 1.15}}},
 		{Name: "urgent-long", Kinds: urgentLong, Entries: 3, Servers: servers(7)},
 		{Name: "new-kind", Kinds: newKind, Entries: 3, Servers: servers(8)},
+		{Name: "larger", Kinds: large, Entries: 9, Servers: with(servers(44), 12, Span{calm, trouble, 0})},
 		{Name: "fast-servers", Kinds: fast, Entries: 3, Servers: servers(9)},
 		{Name: "estimates-off", Kinds: kinds(), Entries: 3, Servers: servers(8), Bias: 3},
 	}
