Reserve room in whole tasks for the first priority

Cause: the reservation compared a mean job of the first priority with the sum of what is free. Change: where room is reserved, only room counts in which a whole task of the first priority fits; half a mean job is reserved. TestNarrowJobLeavesRoomForTheFirstPriority and the tests of the reservation have new figures for the new share, as strict as before. Test: TestFragmentsAreNoRoomForTheFirstPriority, seen red with the sum.

--- a/internal/disp/job_controller.go
+++ b/internal/disp/job_controller.go
@@ -52,7 +52,7 @@
 		g = &wait.Reservation{}
 		m.guards[j.Service] = g
 	}
-	g.Observe(m.now, j.waitingNeed())
+	g.Observe(m.now, j.waitingNeed(), j.largestNeed())
 }
 
 func (m *Machine) newJob(ev Submit) *job {
--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -81,7 +81,7 @@
 // each slot before enough are free for a wide job.
 func (m *Machine) placeJob(j *job, p *pool) bool {
 	allOrNothing := p.full && !j.queued.Started
-	budget := p.free.Minus(m.headroom(j, p))
+	budget := m.budget(j, p)
 	if len(p.candidates) == 0 || (allOrNothing && !budget.Fits(j.waitingNeed())) {
 		return false
 	}
@@ -120,13 +120,28 @@
 	return missing == 0
 }
 
-// headroom returns the room that a job has to leave free for jobs of the first priority.
-func (m *Machine) headroom(j *job, p *pool) room.Resources {
+// budget returns the capacity that a job may use. Where some is reserved for jobs of the first priority, only capacity in which a
+// task of theirs fits counts.
+func (m *Machine) budget(j *job, p *pool) room.Resources {
 	g := m.guards[j.Service]
 	if g == nil {
-		return room.Resources{}
+		return p.free
 	}
-	return g.Reserved(m.now, j.queued, j.largestNeed(), p.total)
+	reserved := g.Reserved(m.now, j.queued, j.largestNeed(), p.total)
+	if reserved == (room.Resources{}) {
+		return p.free
+	}
+	return p.wholeTasks(g.TaskNeed()).Minus(reserved)
+}
+
+// wholeTasks returns the free capacity that tasks of a need can use.
+func (p *pool) wholeTasks(need room.Resources) (sum room.Resources) {
+	for _, c := range p.candidates {
+		if need.CPU > 0 && c.Free.CPU > 0 && c.Slow == 1 {
+			sum = sum.Plus(need.Times(float64(c.Free.CPU / need.CPU)))
+		}
+	}
+	return sum
 }
 
 // largestNeed returns the need of the waiting task that needs the most CPU.
@@ -245,7 +260,7 @@
 		return "full"
 	case slices.Contains(place.Choose(slices.Clone(p.candidates), needs, m.rng), -1):
 		return "fragments"
-	case !p.free.Minus(m.headroom(j, p)).Fits(j.waitingNeed()):
+	case !m.budget(j, p).Fits(j.waitingNeed()):
 		return "reservation"
 	}
 	return "order"
--- a/internal/wait/guard.go
+++ b/internal/wait/guard.go
@@ -7,7 +7,7 @@
 
 const (
 	// reservedJobs is the number of average jobs of the first priority for which capacity is reserved.
-	reservedJobs = 1.0
+	reservedJobs = 0.5
 	// maxReservedShare bounds the reserved capacity, as a share of the total.
 	maxReservedShare = 0.1
 	// reservationTTL is how long capacity stays reserved after the last job of the first priority, in milliseconds.
@@ -21,16 +21,18 @@
 // dispatchers learn of each other's starts with a delay, so with no slot to spare they place tasks on the same free slot.
 type Reservation struct {
 	meanNeed    room.Resources
+	meanTask    room.Resources
 	lastArrival clock.Millis
 	seen        bool
 }
 
 // Observe records a job of the first priority and the total need of its tasks.
-func (g *Reservation) Observe(now clock.Millis, need room.Resources) {
+func (g *Reservation) Observe(now clock.Millis, need, task room.Resources) {
 	if !g.seen || now-g.lastArrival > reservationTTL {
-		g.meanNeed = need
+		g.meanNeed, g.meanTask = need, task
 	} else {
 		g.meanNeed = g.meanNeed.Times(1 - needSmoothing).Plus(need.Times(needSmoothing))
+		g.meanTask = g.meanTask.Times(1 - needSmoothing).Plus(task.Times(needSmoothing))
 	}
 	g.seen = true
 	g.lastArrival = now
@@ -48,3 +50,8 @@
 	}
 	return reserved
 }
+
+// TaskNeed returns the mean need of a task of the jobs that capacity is reserved for.
+func (g *Reservation) TaskNeed() room.Resources {
+	return g.meanTask
+}
