Reword platform and node; name polls and resumption by the terms of the field

Cause: platform/ and internal/node still spoke of lives, looks and thawing, and their comments of what something says or takes.

--- a/internal/emul/orders.go
+++ b/internal/emul/orders.go
@@ -75,48 +75,48 @@
 	}, runs.HaltDone{Task: o.Task, Run: o.Run, Outcome: runs.OrderUnknown})
 }
 
-func (w *World) requestLook(p *proc, o runs.Poll) {
+func (w *World) requestPoll(p *proc, o runs.Poll) {
 	until := w.leaseEnd(o.Lease)
 	incarnation := p.incarnation
 	noAnswer := runs.PollDone{Number: o.Number, Outcome: runs.OrderUnknown}
 	if w.rng.Float64() < w.cfg.LateShare {
 		w.after(clock.Millis(lateMin+w.rng.IntN(lateRange)), func() {
 			if p.backend.up {
-				p.backend.look(o, until)
+				p.backend.poll(o, until)
 			}
 		})
-		w.after(o.Timeout, func() { w.deliverLooked(p, incarnation, noAnswer) })
+		w.after(o.Timeout, func() { w.deliverPoll(p, incarnation, noAnswer) })
 		return
 	}
-	w.after(requestLatency, func() { w.pollLook(p, o, until, w.now+o.Wait, incarnation) })
+	w.after(requestLatency, func() { w.waitPoll(p, o, until, w.now+o.Wait, incarnation) })
 }
 
-// pollLook answers a look once there is an ended run to report or its wait is over.
-func (w *World) pollLook(p *proc, o runs.Poll, until, waitEnd clock.Millis, incarnation int) {
+// waitPoll answers a look once there is an ended run to report or its wait is over.
+func (w *World) waitPoll(p *proc, o runs.Poll, until, waitEnd clock.Millis, incarnation int) {
 	r := p.backend
 	if !r.up && r.refuses {
 		refused := runs.PollDone{Number: o.Number, Outcome: runs.OrderUnreachable}
-		w.after(requestLatency, func() { w.deliverLooked(p, incarnation, refused) })
+		w.after(requestLatency, func() { w.deliverPoll(p, incarnation, refused) })
 		return
 	}
 	if !r.up {
-		w.after(o.Timeout, func() { w.deliverLooked(p, incarnation, runs.PollDone{Number: o.Number, Outcome: runs.OrderUnknown}) })
+		w.after(o.Timeout, func() { w.deliverPoll(p, incarnation, runs.PollDone{Number: o.Number, Outcome: runs.OrderUnknown}) })
 		return
 	}
 	if r.id != o.Instance {
-		w.after(requestLatency, func() { w.deliverLooked(p, incarnation, runs.PollDone{Number: o.Number, Outcome: runs.OrderGone}) })
+		w.after(requestLatency, func() { w.deliverPoll(p, incarnation, runs.PollDone{Number: o.Number, Outcome: runs.OrderGone}) })
 		return
 	}
-	l := r.look(o, until)
+	l := r.poll(o, until)
 	if len(l.Ended) == 0 && w.now < waitEnd {
 		o.Lease = 0
-		w.after(pollInterval, func() { w.pollLook(p, o, until, waitEnd, incarnation) })
+		w.after(pollInterval, func() { w.waitPoll(p, o, until, waitEnd, incarnation) })
 		return
 	}
-	w.after(requestLatency, func() { w.deliverLooked(p, incarnation, l) })
+	w.after(requestLatency, func() { w.deliverPoll(p, incarnation, l) })
 }
 
-func (w *World) deliverLooked(p *proc, incarnation int, l runs.PollDone) {
+func (w *World) deliverPoll(p *proc, incarnation int, l runs.PollDone) {
 	if p.incarnation == incarnation {
 		p.push(l)
 	}
--- a/internal/emul/proc.go
+++ b/internal/emul/proc.go
@@ -86,7 +86,7 @@
 	case runs.HaltRun:
 		w.requestHalt(p, a)
 	case runs.Poll:
-		w.requestLook(p, a)
+		w.requestPoll(p, a)
 	case event.Note:
 		w.logf("%s %s job=%s reason=%s peer=%s count=%d took=%d", p.name, a.Name, a.Job, a.Reason, a.Peer, a.Count, a.Took)
 	case event.Exit:
--- a/internal/emul/runner.go
+++ b/internal/emul/runner.go
@@ -143,7 +143,7 @@
 	return runs.OrderDone
 }
 
-func (r *backend) look(o runs.Poll, until clock.Millis) runs.PollDone {
+func (r *backend) poll(o runs.Poll, until clock.Millis) runs.PollDone {
 	r.advance()
 	if o.Lease > 0 {
 		r.renewLease(until)
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -23,7 +23,7 @@
 	"corianderspur.example/corianderspur/pkg/label"
 )
 
-// Announcement is what a backend server sends to the agent beside it, again and again while it lives.
+// Announcement is the periodic heartbeat of a backend server to the agent beside it.
 type Announcement struct {
 	Addr        string    `json:"addr"`
 	Slots       int       `json:"slots"`
@@ -100,7 +100,7 @@
 	n.loop.perform = n.perform
 	n.loop.take = n.mesh.Take
 	n.loop.stale = func(ev event.Event) { n.loop.handle(n.loop.last, ev) }
-	n.loop.thaw = func() {
+	n.loop.resume = func() {
 		out.log.Info("thawed")
 		n.mesh.Reset(n.machine.ID())
 	}
@@ -197,7 +197,7 @@
 	}()
 }
 
-// forget drops the means to abort a run that has ended.
+// forget removes the cancel function of a run that has ended.
 func (n *Agent) forget(key shard.Key, index int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -9,8 +9,8 @@
 	"github.com/go-faster/errors"
 )
 
-// lastRead is how long a connection that is closed while it is idle is read once more: a request may have arrived that
-// the server has not seen yet.
+// lastRead is how long an idle connection is read once more before it is closed: a request may have arrived that the server has
+// not read yet.
 const lastRead = 5 * time.Millisecond
 
 // conn is a connection that can be closed while it is idle without a loss of what has arrived on it.
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -49,7 +49,7 @@
 	d.loop.perform = d.perform
 	d.loop.take = d.mesh.Take
 	d.loop.stale = d.stale
-	d.loop.thaw = func() { d.thaw(id) }
+	d.loop.resume = func() { d.resume(id) }
 	d.loop.faulted = d.faulted
 	return d
 }
@@ -85,7 +85,7 @@
 	}
 }
 
-func (d *Dispatcher) thaw(id shard.ID) {
+func (d *Dispatcher) resume(id shard.ID) {
 	d.notes.log.Info("thawed")
 	d.mesh.Reset(id)
 	for _, a := range d.machine.Resume(d.loop.last) {
@@ -93,7 +93,7 @@
 	}
 }
 
-// faulted gives up what an event was about whose handling failed: the session that a message came with, or a caller.
+// faulted closes the session, or answers the caller, of an event whose handling panicked.
 func (d *Dispatcher) faulted(ev event.Event, fault string) {
 	d.notes.log.Info("fault", "reason", fault)
 	switch ev := ev.(type) {
@@ -106,7 +106,7 @@
 	}
 }
 
-// stale refuses a job that may have waited in a socket while the process stood still.
+// stale refuses a request that may have waited in a socket while the process was suspended.
 func (d *Dispatcher) stale(ev event.Event) {
 	switch ev := ev.(type) {
 	case disp.Submit:
@@ -145,9 +145,9 @@
 	return d.next, ch
 }
 
-// Submit hands a job in and waits for its reply; the job is dropped when the context ends first.
+// Submit submits a job and waits for its reply; the job is dropped if the context ends first.
 func (d *Dispatcher) Submit(ctx context.Context, j disp.Job) disp.Reply {
-	if d.loop.Thawing() {
+	if d.loop.Resuming() {
 		return disp.Reply{Result: disp.Refused}
 	}
 	ticket, ch := d.ticket()
@@ -176,7 +176,7 @@
 	}
 }
 
-// State returns what is known of a job; known is false for one that never was here or was long ago.
+// State returns the state of a job; known is false for one that this entry has never had or has forgotten.
 func (d *Dispatcher) State(id string) (state string, known bool) {
 	d.loop.Do(func(clock.Millis) { state, known = d.machine.State(id) })
 	return state, known
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -104,7 +104,7 @@
 	n.loop.perform = n.perform
 	n.loop.take = n.mesh.Take
 	n.loop.stale = n.stale
-	n.loop.thaw = func() {
+	n.loop.resume = func() {
 		out.log.Info("thawed")
 		n.mesh.Reset(id)
 	}
@@ -150,7 +150,7 @@
 	}
 }
 
-// stale answers a request that may have waited while the process was frozen.
+// stale answers a request that may have waited while the process was suspended.
 func (n *Entry) stale(ev event.Event) {
 	if s, ok := ev.(entry.Submit); ok {
 		n.respond(s.Ref, &proto.Answer{
@@ -202,17 +202,17 @@
 	}
 }
 
-// Cancel asks for a job to be ended.
+// Cancel requests the end of a job.
 func (n *Entry) Cancel(key shard.Key) {
 	n.loop.Push(entry.CancelJob{Key: key})
 }
 
-// Thawing reports whether the process was frozen a moment ago.
-func (n *Entry) Thawing() bool {
-	return n.loop.Thawing()
+// Resuming reports whether the process was suspended until a moment ago.
+func (n *Entry) Resuming() bool {
+	return n.loop.Resuming()
 }
 
-// Apply replaces the configuration of version base; a *rest.ConflictError tells that another stands in its place.
+// Apply replaces the configuration of version base; a *rest.ConflictError means that another version has replaced it already.
 func (n *Entry) Apply(ctx context.Context, base uint64, d *policy.Document) (version uint64, err error) {
 	ch := make(chan entry.Applied, 1)
 	n.mu.Lock()
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -21,7 +21,7 @@
 type Runner interface {
 	Start(ctx context.Context, o runs.StartRun) runs.StartDone
 	Halt(ctx context.Context, o runs.HaltRun) runs.HaltDone
-	Look(ctx context.Context, o runs.Poll) runs.PollDone
+	Poll(ctx context.Context, o runs.Poll) runs.PollDone
 }
 
 // Keeper runs the state machine of an agent for leased runs on a control thread.
@@ -54,7 +54,7 @@
 	k.loop.faulted = k.faulted
 	k.loop.take = k.mesh.Take
 	k.loop.stale = func(ev event.Event) { k.loop.handle(k.loop.last, ev) }
-	k.loop.thaw = func() {
+	k.loop.resume = func() {
 		log.Info("thawed")
 		k.mesh.Reset(id)
 	}
@@ -81,17 +81,17 @@
 	return nil
 }
 
-// Announce takes a heartbeat of the backend server; it returns when the heartbeat is in force.
+// Announce handles a heartbeat of the backend server and returns once it is in force.
 func (k *Keeper) Announce(in runs.Instance) {
 	k.loop.Do(func(now clock.Millis) { k.do(k.machine.Handle(now, runs.Announced{Instance: in})) })
 }
 
-// Gone takes the planned end of the backend server.
+// Gone handles the planned end of the backend server.
 func (k *Keeper) Gone(id string) {
 	k.loop.Do(func(now clock.Millis) { k.do(k.machine.Handle(now, runs.InstanceLeft{ID: id})) })
 }
 
-// faulted closes the session of a message whose handling failed: what its dispatcher has here is stopped and settled.
+// faulted closes the session of a message whose handling panicked; the runs of its dispatcher are then stopped.
 func (k *Keeper) faulted(ev event.Event, fault string) {
 	k.notes.log.Info("fault", "reason", fault)
 	if r, ok := ev.(event.Received); ok {
@@ -116,7 +116,7 @@
 	case runs.HaltRun:
 		go func() { k.loop.Push(k.runner.Halt(k.ctx, a)) }()
 	case runs.Poll:
-		go func() { k.loop.Push(k.runner.Look(k.ctx, a)) }()
+		go func() { k.loop.Push(k.runner.Poll(k.ctx, a)) }()
 	case event.Note:
 		k.notes.take(a)
 	case event.Exit:
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -12,7 +12,7 @@
 
 const (
 	headerLimit = 10 * time.Second
-	// drainPoll is the time between looks at what is still open while a listener drains.
+	// drainPoll is the time between checks for open connections while a listener drains.
 	drainPoll = 20 * time.Millisecond
 )
 
@@ -47,7 +47,7 @@
 }
 
 // Drain refuses new connections, closes the idle ones and waits for the requests in progress; the error says that some
-// were cut off. The server's own shutdown would close idle connections without a look at what has just arrived there.
+// were cut off. The server's own shutdown would close idle connections without reading what has just arrived there.
 func (l *Listener) Drain(limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -19,8 +19,8 @@
 	inboxLimit = 50_000
 	// StaleGap is the pause of the control thread after which waiting input counts as stale, in milliseconds.
 	StaleGap = 2 * clock.Second
-	// thawGrace is the time after such a pause during which new requests are turned away, in milliseconds.
-	thawGrace = 250 * clock.Millis(1)
+	// resumeGrace is the time after such a pause during which new requests are turned away, in milliseconds.
+	resumeGrace = 250 * clock.Millis(1)
 )
 
 // Machine is a state machine without input or output.
@@ -28,38 +28,37 @@
 	Handle(now clock.Millis, ev event.Event) []event.Action
 }
 
-// Loop is the control thread of a process.
+// Loop is the control thread of a process: it hands events to the state machine and carries out the actions.
 type Loop struct {
 	clock   clock.Clock
 	machine Machine
 	// perform carries out one action.
 	perform func(a event.Action)
-	// take is told of each event before the machine handles it.
+	// take is called with each event before the machine handles it.
 	take func(ev event.Event)
-	// stale handles an event that waited while the process was frozen.
+	// stale handles an event that waited while the process was suspended.
 	stale func(ev event.Event)
-	// thaw closes every session after the process was frozen.
-	thaw func()
-	// faulted is told of an event whose handling ended in a fault of the program, after which the machine goes on; without it,
-	// and after mostFaults, the process ends.
+	// resume closes every session after the process was suspended.
+	resume func()
+	// faulted is called with an event whose handling panicked; the machine goes on. Without it, and after maxFaults, the process ends.
 	faulted func(ev event.Event, fault string)
 	faults  int
 	// gap is the pause after which waiting input counts as stale, in milliseconds; every is the time between ticks.
 	gap   clock.Millis
 	every time.Duration
 
-	mu     sync.Mutex
-	space  *sync.Cond
-	queue  []event.Event
-	wake   chan struct{}
-	last   clock.Millis
-	thawed clock.Millis
-	ended  bool
+	mu        sync.Mutex
+	space     *sync.Cond
+	queue     []event.Event
+	wake      chan struct{}
+	last      clock.Millis
+	resumedAt clock.Millis
+	ended     bool
 }
 
 // NewLoop creates a control thread that has not started.
 func NewLoop(c clock.Clock, m Machine) *Loop {
-	l := &Loop{clock: c, machine: m, wake: make(chan struct{}, 1), thawed: -thawGrace * 2, gap: StaleGap, every: tickEvery}
+	l := &Loop{clock: c, machine: m, wake: make(chan struct{}, 1), resumedAt: -resumeGrace * 2, gap: StaleGap, every: tickEvery}
 	l.space = sync.NewCond(&l.mu)
 	return l
 }
@@ -84,11 +83,11 @@
 	}
 }
 
-// Thawing reports whether the process was frozen a moment ago, so that new input may be old.
-func (l *Loop) Thawing() bool {
+// Resuming reports whether the process was suspended until a moment ago, so that new input may have waited in sockets.
+func (l *Loop) Resuming() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.clock.Now()-l.thawed < thawGrace
+	return l.clock.Now()-l.resumedAt < resumeGrace
 }
 
 // Run handles events until the context ends.
@@ -163,13 +162,13 @@
 	}
 }
 
-// mostFaults is the number of faults after which a process no longer trusts its state.
-const mostFaults = 10
+// maxFaults is the number of panics after which a process no longer trusts its state.
+const maxFaults = 10
 
-// decide lets the machine handle an event. A fault in it costs what the event was about, not the process.
+// decide lets the machine handle an event. A panic fails the request or session that the event belongs to, not the process.
 func (l *Loop) decide(now clock.Millis, ev event.Event) (actions []event.Action) {
 	defer func() {
-		if l.faulted == nil || l.faults >= mostFaults {
+		if l.faulted == nil || l.faults >= maxFaults {
 			return
 		}
 		if fault := recover(); fault != nil {
@@ -180,13 +179,13 @@
 	return l.machine.Handle(now, ev)
 }
 
-// dropStale drops input that may have waited through a freeze and closes the sessions it came from.
+// dropStale drops input that may have waited while the process was suspended and closes the sessions it came from.
 func (l *Loop) dropStale(now clock.Millis, events []event.Event) {
 	l.mu.Lock()
-	l.thawed = now
+	l.resumedAt = now
 	l.mu.Unlock()
 	l.last = now
-	l.thaw()
+	l.resume()
 	for _, ev := range append(events, l.waiting()...) {
 		switch ev.(type) {
 		case event.Received, event.Tick:
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -33,7 +33,7 @@
 	thawed := 0
 	l := NewLoop(c, m)
 	l.stale = func(ev event.Event) { stale = append(stale, ev) }
-	l.thaw = func() { thawed++ }
+	l.resume = func() { thawed++ }
 	l.handleAll([]event.Event{event.Received{From: "e1"}})
 	qt.Assert(t, m.handled, qt.HasLen, 1)
 
@@ -41,12 +41,12 @@
 	l.Push(entry.Submit{Ref: 2})
 	l.handleAll([]event.Event{event.Received{From: "e1"}, entry.Submit{Ref: 1}, event.SessionDown{Peer: "e1"}})
 	qt.Check(t, thawed, qt.Equals, 1)
-	qt.Check(t, l.Thawing(), qt.IsTrue)
+	qt.Check(t, l.Resuming(), qt.IsTrue)
 	qt.Check(t, stale, qt.DeepEquals, []event.Event{entry.Submit{Ref: 1}, entry.Submit{Ref: 2}})
 	qt.Check(t, m.handled[1:], qt.DeepEquals, []event.Event{event.SessionDown{Peer: "e1"}})
 
-	c.now += thawGrace
-	qt.Check(t, l.Thawing(), qt.IsFalse)
+	c.now += resumeGrace
+	qt.Check(t, l.Resuming(), qt.IsFalse)
 }
 
 // faultyMachine fails on messages.
@@ -72,7 +72,7 @@
 	qt.Check(t, faulted, qt.DeepEquals, []event.Event{event.Received{From: "a1"}})
 	qt.Check(t, m.handled, qt.DeepEquals, []event.Event{event.SessionDown{Peer: "a1"}})
 
-	for range mostFaults - 1 {
+	for range maxFaults - 1 {
 		l.handleAll([]event.Event{event.Received{From: "a1"}})
 	}
 	qt.Check(t, func() { l.handleAll([]event.Event{event.Received{From: "a1"}}) }, qt.PanicMatches, "index out of range")
--- a/internal/rest/caller.go
+++ b/internal/rest/caller.go
@@ -33,8 +33,8 @@
 type Dispatcher interface {
 	Submit(ctx context.Context, job proto.Job, lookup bool) (*proto.Answer, error)
 	Cancel(key shard.Key)
-	// Thawing reports whether the process was frozen a moment ago, so that requests may be old.
-	Thawing() bool
+	// Resuming reports whether the process was suspended until a moment ago, so that requests may be old.
+	Resuming() bool
 }
 
 // CallerHandler serves the callers' interface.
@@ -62,7 +62,7 @@
 // refuseStale turns away requests that may have waited while the process was frozen.
 func (h *CallerHandler) refuseStale(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if h.dispatcher.Thawing() {
+		if h.dispatcher.Resuming() {
 			w.Header().Set("Connection", "close")
 			writeProblem(w, http.StatusServiceUnavailable, &FieldError{Reason: "this entry was paused; submit the job again"})
 			return
--- a/internal/rest/caller_test.go
+++ b/internal/rest/caller_test.go
@@ -31,7 +31,7 @@
 
 func (d *fakeDispatcher) Cancel(shard.Key) {}
 
-func (d *fakeDispatcher) Thawing() bool { return d.thawing }
+func (d *fakeDispatcher) Resuming() bool { return d.thawing }
 
 func send(d *fakeDispatcher, method, path, body string) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
