Let a job wait for half of its slack, and run lost tasks again as long as the caller waits

Cause: the wait before a refusal was a share of the objective, which gave a job with little slack as much patience as one with much; and a job whose tasks were lost was given up after three objectives, a figure of how worth is counted, though its caller still waited. Change: a job waits for half of the time by which its objective exceeds its estimate; lost tasks start again while the caller's deadline allows. The multiple of the objective and LatestStart are gone.

--- a/internal/disp/job_controller.go
+++ b/internal/disp/job_controller.go
@@ -14,8 +14,6 @@
 const (
 	// resultRetention is how long the result of a job is remembered for a caller that sends it again, in milliseconds.
 	resultRetention = 10 * clock.Second
-	// usefulObjectives is how long after its arrival the answer to a job is still useful to its caller, in multiples of the objective.
-	usefulObjectives = 3
 	// minRetryAfter is the shortest time after which a caller may retry, in milliseconds.
 	minRetryAfter = 1 * clock.Second
 )
@@ -184,14 +182,13 @@
 			continue
 		}
 		j.hasLost = true
-		usefulUntil := min(j.deadline, j.received+usefulObjectives*j.queued.Objective)
 		v := m.agents[t.agent]
 		mayReturn := v != nil && m.now-v.downAt <= m.cfg.ReattachTimeout
 		switch {
 		case m.now >= t.lapseAt:
 			t.ran = true
 			m.requeue(j, t)
-		case !mayReturn && t.lapseAt+j.Steps[t.step].Estimate > usefulUntil:
+		case !mayReturn && t.lapseAt+j.Steps[t.step].Estimate > j.deadline:
 			m.giveUp(j, "agent_lost")
 			return
 		}
--- a/internal/study/central.go
+++ b/internal/study/central.go
@@ -14,7 +14,7 @@
 	Worth float64
 	// InTime, Late, Refused and Lost count jobs; late ones were answered after their objective.
 	InTime, Late, Refused, Lost int
-	// Earned and Offered hold the worth by second of arrival, and Waits the time until the last task was placed, in milliseconds.
+	// Earned and Offered hold the worth by second of arrival.
 	Earned  []float64
 	Offered []float64
 	// ByKind holds the worth earned by kind of request.
--- a/internal/wait/line.go
+++ b/internal/wait/line.go
@@ -52,10 +52,11 @@
 	return j.OwnRank()
 }
 
-// maxWaitShare is the share of its objective that a job may wait before it is refused. The rest is a reserve in case its slowest
-// task takes longer than the estimate: an early refusal, after which the caller can still retry, is better than a late answer,
-// and while capacity is short each late answer uses capacity that could have produced one in time.
-const maxWaitShare = 0.16
+// maxWaitShare is the share of its slack that a job may wait before it is refused; the slack is the time by which its objective
+// exceeds its estimate. The rest is a reserve in case its slowest task takes longer than the estimate: an early refusal, after which the
+// caller can still retry, is better than a late answer, and while capacity is short each late answer uses capacity that could have
+// produced one in time.
+const maxWaitShare = 0.5
 
 // localityWaitShare is the share of the time until its refusal that a job waits for capacity near its data.
 const localityWaitShare = 0.5
@@ -66,14 +67,9 @@
 	return slack < 0 && now < j.Received+clock.Millis(localityWaitShare*float64(j.RefuseAt()-j.Received))
 }
 
-// LatestStart is the latest time at which all tasks can start for the job to meet its objective.
-func (j Job) LatestStart() clock.Millis {
-	return j.Received + j.Objective - j.Estimate
-}
-
 // RefuseAt is the time at which a job is refused if none of its tasks has started.
 func (j Job) RefuseAt() clock.Millis {
-	return j.Received + clock.Millis(maxWaitShare*float64(j.Objective))
+	return j.Received + clock.Millis(maxWaitShare*float64(max(j.Objective-j.Estimate, 0)))
 }
 
 // Queue holds the jobs that have tasks waiting to start, ordered by rank and then by refusal time.
