Reserve processors, not memory, in whole tasks; refuse reports with a pace that nobody measures

Cause: found by reading the change: the room for whole tasks of the first priority was counted in all resources, so that tasks with more memory than those of the first priority found none while any of these arrived; and a report with an infinite or undefined pace would make all other backend servers look slow. Change: only CPU counts in whole tasks; such a report ends its session, like other malformed ones.

--- a/internal/disp/machine_test.go
+++ b/internal/disp/machine_test.go
@@ -389,3 +389,14 @@
 	e.submit(3, jobOf(3, 2, 1000))
 	qt.Assert(t, e.sentTasks(), qt.DeepEquals, map[shard.ID]int{"a6/1": 2})
 }
+
+// Tasks of the first priority need little memory and others much: the reservation of whole tasks holds back processors, not memory.
+func TestReservationOfSmallTasksLeavesMemoryFree(t *testing.T) {
+	e := newEntryTest(t, "a1/1", "a2/1")
+	e.submit(1, jobOf(1, 4, 200))
+	large := jobOf(2, 1, 400)
+	large.Priority = 1
+	large.Steps[0].Need.MemMB = 900
+	e.submit(2, large)
+	qt.Assert(t, len(e.sentTasks()), qt.Equals, 1)
+}
--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -120,8 +120,8 @@
 	return missing == 0
 }
 
-// budget returns the capacity that a job may use. Where some is reserved for jobs of the first priority, only capacity in which a
-// task of theirs fits counts.
+// budget returns the capacity that a job may use. Where some is reserved for jobs of the first priority, only CPU of which
+// a task of theirs can use all counts.
 func (m *Machine) budget(j *job, p *pool) room.Resources {
 	g := m.guards[j.Service]
 	if g == nil {
@@ -131,14 +131,16 @@
 	if reserved == (room.Resources{}) {
 		return p.free
 	}
-	return p.wholeTasks(g.TaskNeed()).Minus(reserved)
+	usable := p.free
+	usable.CPU = p.wholeTasksCPU(g.TaskNeed())
+	return usable.Minus(reserved)
 }
 
-// wholeTasks returns the free capacity that tasks of a need can use.
-func (p *pool) wholeTasks(need room.Resources) (sum room.Resources) {
+// wholeTasksCPU returns the free CPU that tasks of a need can use, in thousandths of a core.
+func (p *pool) wholeTasksCPU(need room.Resources) (sum int64) {
 	for _, c := range p.candidates {
 		if need.CPU > 0 && c.Free.CPU > 0 && c.Slow == 1 {
-			sum = sum.Plus(need.Times(float64(c.Free.CPU / need.CPU)))
+			sum += c.Free.CPU / need.CPU * need.CPU
 		}
 	}
 	return sum
--- a/internal/proto/order.go
+++ b/internal/proto/order.go
@@ -120,6 +120,9 @@
 	maxAmount = int64(1) << 40
 )
 
+// maxPace bounds the pace of a backend server in a report.
+const maxPace = 1e6
+
 // Check returns an error if the orders contain a time or an amount that no dispatcher sends.
 func (o *Orders) Check() error {
 	if o.Stamp < 0 || o.Stamp > maxStamp {
@@ -140,6 +143,9 @@
 	if f := r.Free; max(f.CPU, f.MemMB, f.GPU) > maxAmount || min(f.CPU, f.MemMB, f.GPU) < -maxAmount {
 		return errors.Errorf("free room %v", f)
 	}
+	if !(r.Pace >= 0 && r.Pace <= maxPace) {
+		return errors.Errorf("pace %f", r.Pace)
+	}
 	if r.Facts != nil && !isAmount(r.Facts.Total) {
 		return errors.Errorf("total room %v", r.Facts.Total)
 	}
--- a/internal/runs/pace.go
+++ b/internal/runs/pace.go
@@ -13,6 +13,8 @@
 	minPaceTime = 200 * clock.Millis(1)
 	// paceTTL is how long the pace stays known without progress to measure, in milliseconds.
 	paceTTL = 2 * clock.Second
+	// minPace is the pace of runs without progress; zero would mean that the pace is unknown.
+	minPace = 0.001
 	// percentDone is the progress of a run that is done.
 	percentDone = 100
 )
@@ -45,6 +47,3 @@
 	}
 	return max(p.work/p.time, minPace)
 }
-
-// minPace is the pace of runs without progress; zero would mean that the pace is unknown.
-const minPace = 0.001
