--- a/internal/clock/agenda.go
+++ b/internal/clock/agenda.go
@@ -2,7 +2,8 @@
 
 import "container/heap"
 
-// Agenda holds what is to happen on a fake clock; what is due at the same time happens in the order in which it was added.
+// Agenda is a queue of functions to call at times of a fake clock; those due at the same time are called in the order in which they
+// were added.
 type Agenda struct {
 	steps steps
 	seq   int
@@ -29,13 +30,13 @@
 	return x
 }
 
-// Add lets a function happen at a time.
+// Add schedules a function.
 func (a *Agenda) Add(at Millis, f func()) {
 	a.seq++
 	heap.Push(&a.steps, step{at: at, seq: a.seq, f: f})
 }
 
-// Next takes out what happens next, if it is due by a time.
+// Next removes and returns the earliest function if it is due by a time.
 func (a *Agenda) Next(until Millis) (at Millis, f func(), ok bool) {
 	if len(a.steps) == 0 || a.steps[0].at > until {
 		return 0, nil, false
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -8,7 +8,7 @@
 // Second is the number of milliseconds in one second.
 const Second Millis = 1000
 
-// Clock tells the time of one process.
+// Clock reads the time of one process.
 type Clock interface {
 	Now() Millis
 }
--- a/internal/conf/leased.go
+++ b/internal/conf/leased.go
@@ -13,7 +13,7 @@
 	defaultIdleSilence  clock.Millis = 1000
 	defaultLease        clock.Millis = 800
 	defaultReattach     clock.Millis = 200
-	defaultLookWait     clock.Millis = 120
+	defaultPollWait     clock.Millis = 120
 	defaultOrderTimeout clock.Millis = 40
 	// defaultTick is a fifth of the shortest time that the state machines wait for.
 	defaultTick clock.Millis = 15
@@ -29,7 +29,7 @@
 	CallerAddr string `json:"caller_addr" validate:"required,ip_port"`
 	// ReadyAddr is the IP address and port at which the balancer asks for readiness.
 	ReadyAddr string `json:"ready_addr" validate:"required,ip_port"`
-	// MetricsAddr is the IP address and port for figures.
+	// MetricsAddr is the IP address and port of the metrics.
 	MetricsAddr string `json:"metrics_addr" validate:"required,ip_port"`
 	// TableAddr is the IP address and port of the platform's table service.
 	TableAddr string `json:"table_addr" validate:"required,ip_port"`
@@ -64,7 +64,7 @@
 	MemoryMB int64 `json:"memory_mb" validate:"min=0"`
 }
 
-// DefaultDispatcher returns the settings that a dispatcher uses where its file says nothing.
+// DefaultDispatcher returns the defaults of the settings that a dispatcher's file omits.
 func DefaultDispatcher() Dispatcher {
 	return Dispatcher{
 		BeatMS: defaultBeat, SilenceMS: defaultSilence, IdleBeatMS: defaultIdleBeat, IdleSilenceMS: defaultIdleSilence,
@@ -87,7 +87,7 @@
 	Service string `json:"service" validate:"required"`
 	// BackendAddr is the IP address and port of the backend server.
 	BackendAddr string `json:"backend_addr" validate:"required,ip_port"`
-	// MetricsAddr is the IP address and port for figures.
+	// MetricsAddr is the IP address and port of the metrics.
 	MetricsAddr string `json:"metrics_addr" validate:"required,ip_port"`
 	// TableAddr is the IP address and port of the platform's table service.
 	TableAddr string `json:"table_addr" validate:"required,ip_port"`
@@ -99,8 +99,8 @@
 	IdleSilenceMS clock.Millis `json:"idle_silence_ms" validate:"min=100,max=10000"`
 	// ReattachMS is how long a dispatcher has for a new session when the old one was reset, in milliseconds.
 	ReattachMS clock.Millis `json:"reattach_ms" validate:"min=10,max=10000"`
-	// LookWaitMS is how long the backend server waits for an end before it answers, in milliseconds.
-	LookWaitMS clock.Millis `json:"look_wait_ms" validate:"min=1,max=2000"`
+	// PollWaitMS is how long the backend server waits for an end before it answers, in milliseconds.
+	PollWaitMS clock.Millis `json:"look_wait_ms" validate:"min=1,max=2000"`
 	// OrderTimeoutMS is how long the backend server's answer to an order may take, in milliseconds.
 	OrderTimeoutMS clock.Millis `json:"order_timeout_ms" validate:"min=5,max=10000"`
 	// DrainLimitMS is the longest time a planned stop waits for running tasks, in milliseconds.
@@ -113,10 +113,10 @@
 	MemoryMB int64 `json:"memory_mb" validate:"min=0"`
 }
 
-// DefaultKeeper returns the settings that a keeper uses where its file says nothing.
+// DefaultKeeper returns the defaults of the settings that a keeper's file omits.
 func DefaultKeeper() Keeper {
 	return Keeper{
-		LeaseMS: defaultLease, SilenceMS: defaultSilence, IdleSilenceMS: defaultIdleSilence, ReattachMS: defaultReattach, LookWaitMS: defaultLookWait,
+		LeaseMS: defaultLease, SilenceMS: defaultSilence, IdleSilenceMS: defaultIdleSilence, ReattachMS: defaultReattach, PollWaitMS: defaultPollWait,
 		OrderTimeoutMS: defaultOrderTimeout, DrainLimitMS: 5500, GCPercent: 200, TickMS: defaultTick,
 	}
 }
--- a/internal/load/doc.go
+++ b/internal/load/doc.go
@@ -1,2 +1,2 @@
-// Package load offers jobs at a given rate, whatever the answers, and measures what becomes of them.
+// Package load submits jobs at a given rate, independent of the answers, and measures their outcomes.
 package load
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -31,7 +31,7 @@
 	RatioMax float64 `json:"ratio_max"`
 }
 
-// Report is what a run measured.
+// Report holds the measurements of a run.
 type Report struct {
 	Deployment string         `json:"deployment"`
 	Load       float64        `json:"load"`
@@ -153,7 +153,7 @@
 	return d
 }
 
-// collect completes a report from what the processes and the backend servers counted.
+// collect adds the counters of the processes and the backend servers to a report.
 func (r *Report) collect(ctx context.Context, before figures) error {
 	for class := range r.ms {
 		r.Classes[class] = summarise(r.ms[class], r.ratio[class])
@@ -209,7 +209,7 @@
 	return nil
 }
 
-// Held reports whether nothing happened that must never happen.
+// Held reports whether no invariant was violated.
 func (r *Report) Held() bool {
 	return r.Doubles == 0 && r.Overruns == 0 && r.FalseNotRun == 0 && r.NotWhole == 0 && r.NoAnswer == 0
 }
@@ -248,7 +248,7 @@
 
 func scrapeAll(ctx context.Context, addrs []string) (sum figures, err error) {
 	for _, addr := range addrs {
-		// A process that was killed in the run has no figures any more.
+		// A process that was killed during the run serves no metrics.
 		if err := scrape(ctx, addr, &sum); err != nil && ctx.Err() != nil {
 			return sum, err
 		}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -20,11 +20,11 @@
 	maxSeconds  = 3600
 	maxInFlight = 20000
 	retryPause  = 50 * time.Millisecond
-	// callerPatience is how many tries that end without an answer a caller makes at the least.
+	// callerPatience is the minimum number of tries without an answer after which a caller gives up.
 	callerPatience = 5
 )
 
-// Config is what a run is built from.
+// Config configures a run.
 type Config struct {
 	// Entries are the callers' addresses of the entries, taken in turn.
 	Entries []string
@@ -48,7 +48,7 @@
 	Seed uint64
 	// Run makes the job ids of one run differ from those of others.
 	Run string
-	// Progress takes a line about each second; may be nil.
+	// Progress is called with a line about each second; may be nil.
 	Progress io.Writer
 }
 
@@ -82,7 +82,7 @@
 	report *Report
 }
 
-// Run offers jobs as configured, waits for the answers and returns what was measured.
+// Run submits jobs as configured, waits for the answers and returns the measurements.
 func Run(ctx context.Context, cfg Config) (r *Report, err error) {
 	defer func() {
 		if err != nil {
@@ -183,7 +183,7 @@
 	return &client.Client{Addr: x.cfg.Entries[n%len(x.cfg.Entries)], HTTP: x.client}
 }
 
-// submit asks for a job's answer, at other entries too when one gives none in time.
+// submit submits a job and retries it at other entries when one gives no answer in time.
 func (x *runner) submit(ctx context.Context, o offer, at time.Time, n int) {
 	patience := time.Duration(o.job.DeadlineMS)*time.Millisecond + time.Second
 	ctx, cancel := context.WithDeadline(ctx, at.Add(callerPatience*patience))
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -34,7 +34,7 @@
 	closed  bool
 }
 
-// New creates a logger that writes lines of key=value pairs, and a function that writes what still waits.
+// New creates a logger that writes lines of key=value pairs, and a function that flushes and closes it.
 func New(out io.Writer, process string) (log logr.Logger, flush func()) {
 	w := &writer{out: out, wake: make(chan struct{}, 1), done: make(chan struct{})}
 	go w.run()
@@ -43,8 +43,8 @@
 	return log, w.close
 }
 
-// addSteadyTime puts the milliseconds since the start of the process beside the time of day, which may jump in either direction: the
-// lines of one process stay in order by it, and their distances true.
+// addSteadyTime adds the milliseconds since the start of the process to the time of day, which may jump in either direction, so that the
+// lines of one process can be ordered and their distances measured.
 func addSteadyTime(steady clock.Clock) func(groups []string, a slog.Attr) slog.Attr {
 	return func(groups []string, a slog.Attr) slog.Attr {
 		if len(groups) > 0 || a.Key != slog.TimeKey || a.Value.Kind() != slog.KindTime {
@@ -82,7 +82,7 @@
 	}
 }
 
-// drain writes what waits and reports whether the writer was closed.
+// drain writes the buffered lines and reports whether the writer was closed.
 func (w *writer) drain() bool {
 	w.mu.Lock()
 	lines, dropped, closed := w.waiting, w.dropped, w.closed
--- a/internal/meter/doc.go
+++ b/internal/meter/doc.go
@@ -1,2 +1,2 @@
-// Package meter counts what a process does, by OpenTelemetry, and serves the figures.
+// Package meter records a process's metrics by OpenTelemetry and serves them.
 package meter
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -17,7 +17,7 @@
 	"corianderspur.example/corianderspur/internal/proto"
 )
 
-// maxNames bounds the tenants and classes that have figures of their own; others share one.
+// maxNames bounds the tenants and classes with metrics of their own; all others share the name "other".
 const maxNames = 400
 
 var bounds = []float64{1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 30000}
@@ -34,7 +34,7 @@
 	response metric.Int64Histogram
 	wait     metric.Int64Histogram
 	version  metric.Int64Gauge
-	// capacity and idle say how backend servers are used while work waits, work what the runs of ended jobs have used.
+	// capacity and idle measure the use of backend servers while work waits; work is the core time used by ended jobs.
 	capacity metric.Int64Counter
 	idle     metric.Int64Histogram
 	work     metric.Int64Counter
@@ -43,7 +43,7 @@
 	names map[string]bool
 }
 
-// New creates a meter whose figures carry the name of the process.
+// New creates a meter whose metrics carry the name of the process.
 func New(process string) (m *Meter, err error) {
 	defer func() {
 		if err != nil {
@@ -93,12 +93,12 @@
 	return err
 }
 
-// Handler serves the figures in the Prometheus text format.
+// Handler serves the metrics in the Prometheus text format.
 func (m *Meter) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
-// Note counts what a state machine noted.
+// Note records a note of a state machine.
 func (m *Meter) Note(n event.Note) {
 	ctx := context.Background()
 	class := m.bounded("class", n.Class)
@@ -136,7 +136,7 @@
 	return m.bounded("tenant", name)
 }
 
-// bounded returns an attribute whose values are bounded in number.
+// bounded returns an attribute with a bounded number of distinct values.
 func (m *Meter) bounded(key, name string) attribute.KeyValue {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -164,7 +164,7 @@
 	}
 }
 
-// purposeOf tells frames that carry work from those that only carry control messages.
+// purposeOf distinguishes frames that carry work from those that only carry control messages.
 func purposeOf(messages []proto.Message) string {
 	for i := range messages {
 		if messages[i].IsWork() {
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -40,7 +40,7 @@
 func NewKeeper(cfg conf.Keeper, incarnation string, runner Runner, log logr.Logger, m *meter.Meter) *Keeper {
 	id := shard.ID(cfg.Name + "/" + incarnation)
 	machine := runs.New(runs.Config{
-		ID: id, Name: cfg.Name, Lease: cfg.LeaseMS, Silence: cfg.SilenceMS, IdleSilence: cfg.IdleSilenceMS, Reattach: cfg.ReattachMS, PollWait: cfg.LookWaitMS,
+		ID: id, Name: cfg.Name, Lease: cfg.LeaseMS, Silence: cfg.SilenceMS, IdleSilence: cfg.IdleSilenceMS, Reattach: cfg.ReattachMS, PollWait: cfg.PollWaitMS,
 		OrderTimeout: cfg.OrderTimeoutMS, DrainLimit: cfg.DrainLimitMS,
 	})
 	k := &Keeper{
--- a/internal/stand/backend.go
+++ b/internal/stand/backend.go
@@ -12,7 +12,7 @@
 	"corianderspur.example/corianderspur/internal/node"
 )
 
-// Control tells a backend server how to behave.
+// Control sets the behaviour of a backend server.
 type Control struct {
 	// Slow multiplies run times; zero means 1.
 	Slow float64 `json:"slow"`
@@ -20,7 +20,7 @@
 	FailAll bool `json:"fail_all"`
 	// Leave stops the announcements and tells the agent that the server is leaving.
 	Leave bool `json:"leave"`
-	// Freeze holds every task up until it is lifted.
+	// Freeze suspends every task until it is set to false.
 	Freeze bool `json:"freeze"`
 }
 
@@ -58,7 +58,7 @@
 // announceEvery is the time between announcements.
 const announceEvery = time.Second
 
-// Announce tells the agent of the backend server until the context ends.
+// Announce sends heartbeats to the agent until the context ends.
 func (b *Backend) Announce(ctx context.Context) {
 	ticker := time.NewTicker(announceEvery)
 	defer ticker.Stop()
@@ -88,7 +88,7 @@
 	}
 }
 
-// Handler runs tasks, takes orders at POST /control and tells what was started at GET /starts.
+// Handler runs tasks, sets the behaviour at POST /control and returns the number of starts at GET /starts.
 func (b *Backend) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+node.RunPath, b.run)
@@ -159,7 +159,7 @@
 	b.starts.Running--
 }
 
-// frozenCheck is the time between looks at whether a freeze was lifted.
+// frozenCheck is the time between checks for the end of a freeze.
 const frozenCheck = 50 * time.Millisecond
 
 func (b *Backend) wait(ctx context.Context, work Work, control Control) bool {
--- a/internal/stand/table.go
+++ b/internal/stand/table.go
@@ -14,16 +14,16 @@
 	"corianderspur.example/corianderspur/internal/table"
 )
 
-// ErrDown is returned by a table that was told to fail, or to lose a reply.
+// ErrDown is returned for the faults Down and LoseReplies.
 var ErrDown = errors.New("table service is down")
 
-// Fault tells a table how to misbehave.
+// Fault is a fault to simulate.
 type Fault struct {
 	// Down fails every transaction without effect.
 	Down bool `json:"down"`
 	// LoseReplies fails every transaction after it took effect.
 	LoseReplies bool `json:"lose_replies"`
-	// DelayMS holds every transaction up.
+	// DelayMS delays every transaction, in milliseconds.
 	DelayMS int `json:"delay_ms"`
 }
 
@@ -42,7 +42,7 @@
 	return &Table{rows: map[string]table.Row{}}
 }
 
-// SetFault changes how the table misbehaves.
+// SetFault sets the fault that the table simulates.
 func (t *Table) SetFault(f Fault) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -113,7 +113,7 @@
 	return slices.ContainsFunc(x.Prefixes, func(p string) bool { return strings.HasPrefix(key, p) })
 }
 
-// Handler serves the table by its protocol, takes faults at POST /fault and tells its number of calls at GET /calls.
+// Handler serves the table by its protocol, sets faults at POST /fault and returns the number of calls at GET /calls.
 func (t *Table) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+table.TransactPath, t.transact)
