--- /dev/null
+++ b/internal/disp/place_controller_test.go
@@ -0,0 +1,67 @@
+package disp
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"corianderspur.example/corianderspur/internal/proto"
+	"corianderspur.example/corianderspur/internal/room"
+	"corianderspur.example/corianderspur/internal/shard"
+)
+
+// One backend server has turned slow beside two that are full, so that it alone has room. A job that would be late there waits
+// for the others instead of being spoiled by one slow task.
+func TestSlowBackendServerGetsOnlyWhatFitsItsSpeed(t *testing.T) {
+	e := newEntryTest(t, "a1/1", "a2/1", "a3/1")
+	total := room.Resources{CPU: 4000, MemMB: 1000}
+	e.report("a1/1", proto.Report{Free: total, Accepting: true, Settled: true, Pace: 0.125})
+	e.report("a2/1", proto.Report{Accepting: true, Settled: true, Pace: 1.1})
+	e.report("a3/1", proto.Report{Accepting: true, Settled: true, Pace: 0.9})
+	e.submit(1, jobOf(1, 2, 1000))
+	qt.Assert(t, e.sentTasks(), qt.HasLen, 0)
+
+	e.now += 10
+	e.report("a2/1", proto.Report{Free: total, Accepting: true, Settled: true, Pace: 1.1})
+	qt.Assert(t, e.sentTasks(), qt.DeepEquals, map[shard.ID]int{"a2/1": 2})
+}
+
+// Estimates of all run times are wrong by the same factor: no backend server counts as slow.
+func TestWrongEstimatesMakeNoBackendServerSlow(t *testing.T) {
+	views := []*agentView{{pace: 0.3}, {pace: 0.35}, {pace: 0.28}, {}}
+	for _, v := range views {
+		qt.Check(t, v.slowness(normalPace(views)), qt.Equals, 1.0)
+	}
+	views[2].pace = 0.075
+	qt.Check(t, views[2].slowness(normalPace(views)), qt.Equals, 4.0)
+}
+
+// Every backend server of a larger deployment is full but for less than a task needs. What is free in sum would hold many tasks of
+// the first priority and holds none, so that the last server with room for whole tasks is left to that priority.
+func TestFragmentsAreNoRoomForTheFirstPriority(t *testing.T) {
+	agents := []shard.ID{"a1/1", "a2/1", "a3/1", "a4/1", "a5/1", "a6/1"}
+	e := newEntryTest(t, agents...)
+	first := jobOf(1, 4, 1000)
+	e.submit(1, first)
+	for _, id := range agents {
+		e.report(id, proto.Report{Free: room.Resources{CPU: 900, MemMB: 1000}, LastBegin: 1, Accepting: true, Settled: true})
+	}
+	e.report("a6/1", proto.Report{Free: room.Resources{CPU: 2000, MemMB: 1000}, LastBegin: 1, Accepting: true, Settled: true})
+	narrow := jobOf(2, 1, 1000)
+	narrow.Priority = 1
+	e.submit(2, narrow)
+	qt.Assert(t, e.sentTasks(), qt.HasLen, 0)
+	e.submit(3, jobOf(3, 2, 1000))
+	qt.Assert(t, e.sentTasks(), qt.DeepEquals, map[shard.ID]int{"a6/1": 2})
+}
+
+// Tasks of the first priority need little memory and others much: the reservation of whole tasks holds back processors, not memory.
+func TestReservationOfSmallTasksLeavesMemoryFree(t *testing.T) {
+	e := newEntryTest(t, "a1/1", "a2/1")
+	e.submit(1, jobOf(1, 4, 200))
+	large := jobOf(2, 1, 400)
+	large.Priority = 1
+	large.Steps[0].Need.MemMB = 900
+	e.submit(2, large)
+	qt.Assert(t, len(e.sentTasks()), qt.Equals, 1)
+}
