Build the candidates of the central policies in a function of their own

Cause: the index of a server travelled in a field of the candidate that means another thing. Change: a function returns servers and candidates side by side; comments of the load.

--- a/internal/study/central.go
+++ b/internal/study/central.go
@@ -92,7 +92,8 @@
 	for i, j := range l.Jobs {
 		s.agenda.Add(j.At, func() { s.arrive(i, j) })
 	}
-	for at, f, ok := s.agenda.Next(l.Length * 10); ok; at, f, ok = s.agenda.Next(l.Length * 10) {
+	const end = 10 * Length
+	for at, f, ok := s.agenda.Next(end); ok; at, f, ok = s.agenda.Next(end) {
 		s.now = at
 		f()
 	}
@@ -148,23 +149,7 @@
 // placeJob starts the waiting tasks of a job and reports whether all have started. One that has not begun starts whole, unless it
 // may begin with a part.
 func (s *central) placeJob(cj *centralJob, partly bool) bool {
-	var candidates []place.Candidate
-	for i, v := range s.load.Servers {
-		if speed := v.Speed(s.now); speed > 0 {
-			c := place.Candidate{Free: room.Resources{CPU: s.free[i]}, Total: room.Resources{CPU: v.CPU}, Slow: 1 / speed, Placed: i}
-			candidates = append(candidates, c)
-		}
-	}
-	if s.Random {
-		s.rng.Shuffle(len(candidates), func(a, b int) { candidates[a], candidates[b] = candidates[b], candidates[a] })
-		for i := range candidates {
-			candidates[i].Total, candidates[i].Slow = room.Resources{CPU: 1 << 40}, 1
-		}
-	}
-	servers := make([]int, len(candidates))
-	for i, c := range candidates {
-		servers[i] = c.Placed
-	}
+	servers, candidates := s.candidates()
 	left := float64(cj.At + cj.queued.Objective - s.now)
 	tasks := make([]place.Task, len(cj.waiting))
 	for i := range tasks {
@@ -192,6 +177,31 @@
 	return len(waiting) == 0
 }
 
+// candidates returns the servers that are up, each with what place.Choose needs of it. Random placement takes the servers in random
+// order and hides what would distinguish them.
+func (s *central) candidates() (servers []int, candidates []place.Candidate) {
+	for i, v := range s.load.Servers {
+		if v.Speed(s.now) > 0 {
+			servers = append(servers, i)
+		}
+	}
+	if s.Random {
+		s.rng.Shuffle(len(servers), func(a, b int) { servers[a], servers[b] = servers[b], servers[a] })
+	}
+	for _, i := range servers {
+		v := s.load.Servers[i]
+		c := place.Candidate{Free: room.Resources{CPU: s.free[i]}, Total: room.Resources{CPU: v.CPU}, Slow: 1 / v.Speed(s.now)}
+		if s.Random {
+			c.Total, c.Slow = room.Resources{CPU: unlimitedCPU}, 1
+		}
+		candidates = append(candidates, c)
+	}
+	return servers, candidates
+}
+
+// unlimitedCPU makes the free shares of all servers equal, in thousandths of a core.
+const unlimitedCPU = 1 << 40
+
 func (s *central) start(cj *centralJob, server int, work clock.Millis) {
 	cj.queued.Started = true
 	cj.running++
--- a/internal/study/load.go
+++ b/internal/study/load.go
@@ -103,7 +103,7 @@
 	Bias float64
 }
 
-// Variation of drawn values, as the spread of their logarithms, and the objective by run time.
+// Spreads of the logarithms of drawn values, the objective by run time, and the worth by size and time.
 const (
 	workSpread     = 0.4
 	widthSpread    = 0.4
@@ -117,7 +117,8 @@
 	// lateWorthShare is the part of its worth that a late job still has, up to usefulObjectives times its objective.
 	lateWorthShare   = 0.2
 	usefulObjectives = 3
-	maxWorthFactor   = 4
+	// maxWorthFactor bounds the worth of a large job, in multiples of its kind's.
+	maxWorthFactor = 4
 )
 
 // Length is how long jobs arrive in a session.
@@ -173,7 +174,7 @@
 	return mean * math.Exp(sigma*rng.NormFloat64()-sigma*sigma/2)
 }
 
-// Worth returns what a job earns that is answered at a time.
+// worthAt returns what the job earns if it is answered at a time.
 func (j Job) worthAt(at clock.Millis) float64 {
 	switch took := at - j.At; {
 	case took <= j.Objective:
