Give up jobs with lost tasks after three objectives again

Cause: kept until their callers' deadline, jobs whose agents can't be reached failed at the end, where another entry would have served the caller sooner. Change: the limit of before is back, with the test as it was; the wait for half of the slack stays.

--- a/internal/disp/job_controller.go
+++ b/internal/disp/job_controller.go
@@ -14,6 +14,9 @@
 const (
 	// resultRetention is how long the result of a job is remembered for a caller that sends it again, in milliseconds.
 	resultRetention = 10 * clock.Second
+	// usefulObjectives is how long after its arrival a job whose tasks were lost is kept, in multiples of its objective; the caller is
+	// served sooner by another entry after that.
+	usefulObjectives = 3
 	// minRetryAfter is the shortest time after which a caller may retry, in milliseconds.
 	minRetryAfter = 1 * clock.Second
 )
@@ -182,13 +185,14 @@
 			continue
 		}
 		j.hasLost = true
+		usefulUntil := min(j.deadline, j.received+usefulObjectives*j.queued.Objective)
 		v := m.agents[t.agent]
 		mayReturn := v != nil && m.now-v.downAt <= m.cfg.ReattachTimeout
 		switch {
 		case m.now >= t.lapseAt:
 			t.ran = true
 			m.requeue(j, t)
-		case !mayReturn && t.lapseAt+j.Steps[t.step].Estimate > j.deadline:
+		case !mayReturn && t.lapseAt+j.Steps[t.step].Estimate > usefulUntil:
 			m.giveUp(j, "agent_lost")
 			return
 		}
--- a/internal/disp/machine_test.go
+++ b/internal/disp/machine_test.go
@@ -204,7 +204,7 @@
 func TestLostTaskWaitsForTheLeases(t *testing.T) {
 	e := newEntryTest(t, "a1/1", "a2/1")
 	short, long := jobOf(1, 1, 1000), jobOf(2, 1, 1000)
-	short.Timeout = 1200
+	long.Steps[0].Estimate = 900
 	e.submit(1, short)
 	e.submit(2, long)
 	for _, j := range e.m.jobs {
