Show that a caller is told that its job has not run while it runs

A job whose order is on its way to a backend server that has just started again is queued once more, counts as not begun and is refused with 429, although its task runs to the end.

--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -173,8 +173,21 @@
 	flapGap = 50 * time.Millisecond
 )
 
-// flap: one runner crashes and starts again, over and over and each time under a new id, while some jobs a second come. It sends its
-// first heartbeat as soon as it has started.
+// flapping crashes a runner and starts it again, over and over and each time under a new id, until the end. It sends its first heartbeat
+// as soon as it has started.
+func flapping(r *runner, end time.Time) {
+	for time.Now().Before(end) {
+		r.kill()
+		time.Sleep(flapDown)
+		r.rename()
+		if r.start(0) != nil {
+			return
+		}
+		time.Sleep(flapPeriod - flapDown)
+	}
+}
+
+// flap: one runner flaps while some jobs a second come.
 func flap(w *world, trouble bool) error {
 	w.delay = linkDelay
 	entries, err := w.deploy(1, flapAgents, route{prefix: "/lohu930/", priority: 0, attempts: 2, timeoutMs: 1500})
@@ -184,18 +197,7 @@
 	end := time.Now().Add(flapLength)
 	var wg sync.WaitGroup
 	if trouble {
-		wg.Go(func() {
-			r := w.runners[0]
-			for time.Now().Before(end) {
-				r.kill()
-				time.Sleep(flapDown)
-				r.rename()
-				if r.start(0) != nil {
-					return
-				}
-				time.Sleep(flapPeriod - flapDown)
-			}
-		})
+		wg.Go(func() { flapping(w.runners[0], end) })
 	}
 	for time.Now().Before(end) {
 		wg.Go(func() {
@@ -208,3 +210,47 @@
 	w.checkTwice()
 	return nil
 }
+
+// refusedGap is the mean time between two jobs for the one runner of its kind.
+const refusedGap = 180 * time.Millisecond
+
+// refused: the one runner of a kind flaps while some jobs a second come that require this kind. A job that was only ever answered with
+// 429 or 503 must not have started.
+func refused(w *world, trouble bool) error {
+	w.delay, w.label = linkDelay, "b"
+	entries, err := w.deploy(1, flapAgents, route{prefix: "/lohu930/", priority: 0, attempts: 2, timeoutMs: 1500})
+	if err != nil {
+		return err
+	}
+	end := time.Now().Add(flapLength)
+	var wg sync.WaitGroup
+	if trouble {
+		wg.Go(func() { flapping(w.runners[0], end) })
+	}
+	var mu sync.Mutex
+	rejected := map[string]int{}
+	for time.Now().Before(end) {
+		wg.Go(func() {
+			id, steps := newID(), stepsOf(1, 1, 60)
+			steps[0]["requires"] = "b"
+			job := map[string]any{"taskSpec": "60", "steps": steps, "bestEffort": true}
+			// Clients of this kind don't retry; only the first attempt is made unless its outcome is open.
+			status, _ := w.call("client", "POST", entries[0].front, "/lohu930/"+id, 1500*time.Millisecond, job)
+			if status == 429 || status == 503 {
+				mu.Lock()
+				rejected[id] = status
+				mu.Unlock()
+			}
+		})
+		time.Sleep(time.Duration(rand.ExpFloat64() * float64(refusedGap)))
+	}
+	wg.Wait()
+	time.Sleep(500 * time.Millisecond)
+	for _, i := range w.seen() {
+		id, _, _ := strings.Cut(i.task, ".")
+		if rejected[id] != 0 {
+			w.breakf("REFUSED: %s run %d at %s from %.3f to %.3f s (%s); its only attempt was answered with %d", i.task, i.run, i.runner, i.from.Seconds(), i.to.Seconds(), i.how, rejected[id])
+		}
+	}
+	return nil
+}
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -24,7 +24,7 @@
 func init() { runtime.LockOSThread() }
 
 func main() {
-	cases := map[string]func(w *world, trouble bool) error{"reborn": reborn, "held-up": heldUp, "cancel": cancelElsewhere, "flap": flap}
+	cases := map[string]func(w *world, trouble bool) error{"reborn": reborn, "held-up": heldUp, "cancel": cancelElsewhere, "flap": flap, "refused": refused}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD")
 		os.Exit(cannotRun)
--- a/review/_stand/world.go
+++ b/review/_stand/world.go
@@ -41,6 +41,8 @@
 	addr  string
 	// delay is the one-way delay of the links between entries and agents; zero means that there are no links in between.
 	delay time.Duration
+	// label is the kind of the first runner; empty means that all are of one kind.
+	label string
 
 	mu        sync.Mutex
 	record    *os.File
@@ -208,6 +210,9 @@
 	r := &runner{
 		w: w, name: fmt.Sprintf("r%d", n), addr: freeAddr(), agent: freeAddr(), id: fmt.Sprintf("i-%04x", 0x7f30+n), service: service, label: "a",
 	}
+	if n == 1 && w.label != "" {
+		r.label = w.label
+	}
 	sessions := freeAddr()
 	if w.delay > 0 {
 		l, err := newLink(sessions, w.delay)
