Log why an entry sends a task again, and which orders a list of runs covers

task_requeued names the reason, the run's number and the order that it was sent with, task_sent_again the next run; inventory_sent and inventory name the last order that a list of runs covers. No decision changes; the tests of disp, runs, emul, node and platform pass.

--- a/internal/disp/agent_controller.go
+++ b/internal/disp/agent_controller.go
@@ -200,6 +200,7 @@
 // queued again.
 func (m *Machine) reattach(v *agentView, inv *proto.Inventory) {
 	v.attached = true
+	m.note(event.Note{Name: "inventory", Peer: v.id, Count: len(inv.Runs), Seq: v.ackedSeq})
 	unmatched := make(map[proto.RunRef]bool, len(inv.Runs))
 	for _, ref := range inv.Runs {
 		unmatched[ref] = true
@@ -215,7 +216,7 @@
 				t.state = sent
 				delete(unmatched, ref)
 			} else {
-				m.requeue(j, t)
+				m.requeue(j, t, "not_in_inventory")
 			}
 		}
 		m.updateQueued(j)
@@ -255,7 +256,7 @@
 		for _, t := range j.tasks {
 			if t.state == lost && t.agent == id {
 				t.ran = true
-				m.requeue(j, t)
+				m.requeue(j, t, "agent_restarted")
 			}
 		}
 		m.updateQueued(j)
--- a/internal/disp/common.go
+++ b/internal/disp/common.go
@@ -135,12 +135,16 @@
 )
 
 type task struct {
-	name     string
-	step     int
-	state    state
-	agent    shard.ID
+	name  string
+	step  int
+	state state
+	agent shard.ID
+	// run is the number of the newest run, and seq the number of the order that it was sent with.
 	run      int
+	seq      uint64
 	failures int
+	// resent says that an earlier run was sent and is over, so that the next one is logged.
+	resent bool
 	// ran says that a run of the task may have begun.
 	ran   bool
 	avoid shard.ID
--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -240,6 +240,10 @@
 			v.busy, v.busySince = true, m.now
 		}
 		t.run++
+		t.seq = v.beginSeq
+		if t.resent {
+			m.note(event.Note{Name: "task_sent_again", Job: t.name, Class: j.Queue, Peer: v.id, Run: t.run, Seq: t.seq, Took: m.now - j.received})
+		}
 		j.lastSent = m.now
 		begins[c].Tasks = append(begins[c].Tasks, proto.TaskBegin{
 			Task: t.name, Run: t.run, Need: step.Need, EstimateMS: step.Estimate,
--- a/internal/disp/run_outcomes.go
+++ b/internal/disp/run_outcomes.go
@@ -26,17 +26,17 @@
 		t.avoid = v.id
 		v.failureRate += stallWeight * (1 - v.failureRate)
 		m.note(event.Note{Name: "task_stalled", Job: t.name, Peer: v.id})
-		m.requeue(j, t)
+		m.requeue(j, t, string(e.How))
 	case proto.EndNoRoom:
 		j.returned++
-		m.requeue(j, t)
+		m.requeue(j, t, string(e.How))
 	case proto.EndNotBegun:
 		v.backoffUntil = m.now + beginBackoff
+		m.requeue(j, t, string(e.How))
 		t.run += runNumberSkip
-		m.requeue(j, t)
 	default:
 		t.ran = true
-		m.requeue(j, t)
+		m.requeue(j, t, string(e.How))
 	}
 	m.updateQueued(j)
 }
@@ -94,7 +94,7 @@
 		return
 	}
 	t.avoid = v.id
-	m.requeue(j, t)
+	m.requeue(j, t, string(proto.EndFailed))
 }
 
 // recordDuration updates the ratio of actual to estimated duration of a task's queue.
--- a/internal/emul/proc.go
+++ b/internal/emul/proc.go
@@ -88,7 +88,7 @@
 	case runs.Poll:
 		w.requestPoll(p, a)
 	case event.Note:
-		w.logf("%s %s job=%s reason=%s peer=%s count=%d took=%d", p.name, a.Name, a.Job, a.Reason, a.Peer, a.Count, a.Took)
+		w.logf("%s %s job=%s reason=%s peer=%s count=%d took=%d run=%d seq=%d", p.name, a.Name, a.Job, a.Reason, a.Peer, a.Count, a.Took, a.Run, a.Seq)
 	case event.Exit:
 		p.up = false
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -85,8 +85,11 @@
 	Instance string
 	Shard    int
 	Version  uint64
-	Count    int
-	Took     clock.Millis
+	// Run is the number of a task's run, and Seq the number of the last order that a list of runs covers.
+	Run   int
+	Seq   uint64
+	Count int
+	Took  clock.Millis
 	// Agents, Free, Age and Waiting are the inputs of a decision: the number of usable agents, their known free room in
 	// thousandths of a core, the age of the oldest of their reports in milliseconds, and the number of waiting jobs.
 	Agents  int
--- a/internal/node/notes.go
+++ b/internal/node/notes.go
@@ -44,6 +44,8 @@
 	add(n.Peer != "", "peer", string(n.Peer))
 	add(n.Name == "shard_owned", "shard", n.Shard)
 	add(n.Version != 0, "version", n.Version)
+	add(n.Run != 0, "run", n.Run)
+	add(n.Seq != 0, "seq", n.Seq)
 	add(n.Count != 0, "count", n.Count)
 	if n.Agents != 0 {
 		kv = append(kv, "agents", n.Agents, "free", n.Free, "age_ms", int64(n.Age), "waiting", n.Waiting)
--- a/internal/runs/peer_controller.go
+++ b/internal/runs/peer_controller.go
@@ -203,6 +203,7 @@
 			r.Facts = m.facts()
 			r.Inventory = m.inventory(p)
 			r.Ends = slices.Clone(p.unackedEnds)
+			m.note(event.Note{Name: "inventory_sent", Peer: id, Count: len(r.Inventory.Runs), Seq: p.lastBegin})
 		}
 		p.markSent()
 		m.emit(event.Send{To: id, Message: proto.Message{Report: &r}})
