Show that an order under way to a replaced backend server runs twice

The emulator's links had no distance: 1 ms one way, as long as a poll to and fro, which leaves no time for an order between a list and the agent's readiness. Config.Latency sets it, and a message now arrives when its own time has come, not with the one before it.

--- a/internal/emul/faults.go
+++ b/internal/emul/faults.go
@@ -3,6 +3,7 @@
 import (
 	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/room"
+	"corianderspur.example/corianderspur/internal/runs"
 )
 
 // Drawn runs a session with jobs and faults drawn at random from the seed, which arrive for length milliseconds, and
@@ -106,6 +107,19 @@
 	}
 }
 
+// ReplaceBackend crashes the backend server of the agent with a number; another one takes its place after the downtime and
+// announces itself at once.
+func (w *World) ReplaceBackend(agent int, downtime clock.Millis) {
+	a := w.agents[agent]
+	w.logf("the backend server of %s is replaced", a.name)
+	id := a.backend.id + "x"
+	a.backend.crash()
+	w.after(downtime, func() {
+		a.backend.restart(id)
+		a.push(runs.Announced{Instance: a.backend.instance(0)})
+	})
+}
+
 func (w *World) crashBackend(a *proc, span clock.Millis) {
 	if !a.backend.up {
 		return
--- a/internal/emul/proc.go
+++ b/internal/emul/proc.go
@@ -102,7 +102,22 @@
 	entryID, agentID shard.ID
 	entryUp, agentUp bool
 	// toEntry and toAgent hold the messages that are in flight or wait for a cut to heal.
-	toEntry, toAgent []proto.Message
+	toEntry, toAgent []sentMessage
+}
+
+// sentMessage is a message that arrives at a point in time unless its link is cut.
+type sentMessage struct {
+	at  clock.Millis
+	msg proto.Message
+}
+
+// takeDue removes and returns the messages that have arrived by now.
+func takeDue(now clock.Millis, waiting *[]sentMessage) (due []sentMessage) {
+	for len(*waiting) > 0 && (*waiting)[0].at <= now {
+		due = append(due, (*waiting)[0])
+		*waiting = (*waiting)[1:]
+	}
+	return due
 }
 
 func (w *World) sessionsOf(p *proc) (list []*session) {
@@ -117,32 +132,28 @@
 func (w *World) send(p *proc, to shard.ID, msg proto.Message) {
 	peer, _, _ := strings.Cut(string(to), "/")
 	if s := w.sessions[[2]string{p.name, peer}]; s != nil && s.agentID == to && s.entryUp && s.entryID == p.id {
-		s.toAgent = append(s.toAgent, msg)
-		w.after(latency, s.flush)
+		s.toAgent = append(s.toAgent, sentMessage{at: w.now + w.cfg.Latency, msg: msg})
+		w.after(w.cfg.Latency, s.flush)
 	}
 	if s := w.sessions[[2]string{peer, p.name}]; s != nil && s.entryID == to && s.agentUp && s.agentID == p.id {
-		s.toEntry = append(s.toEntry, msg)
-		w.after(latency, s.flush)
+		s.toEntry = append(s.toEntry, sentMessage{at: w.now + w.cfg.Latency, msg: msg})
+		w.after(w.cfg.Latency, s.flush)
 	}
 }
 
 // flush delivers the messages in flight in each direction that is not cut.
 func (s *session) flush() {
 	if !s.world.isCut(s.entry.name, s.agent.name) {
-		msgs := s.toAgent
-		s.toAgent = nil
-		for _, m := range msgs {
+		for _, m := range takeDue(s.world.now, &s.toAgent) {
 			if s.agentUp && s.agent.up && s.agent.id == s.agentID {
-				s.agent.push(heldMessage{session: s, ev: event.Received{From: s.entryID, Message: m}}.holdIfFrozen(s.agent))
+				s.agent.push(heldMessage{session: s, ev: event.Received{From: s.entryID, Message: m.msg}}.holdIfFrozen(s.agent))
 			}
 		}
 	}
 	if !s.world.isCut(s.agent.name, s.entry.name) {
-		msgs := s.toEntry
-		s.toEntry = nil
-		for _, m := range msgs {
+		for _, m := range takeDue(s.world.now, &s.toEntry) {
 			if s.entryUp && s.entry.up && s.entry.id == s.entryID {
-				s.entry.push(heldMessage{session: s, ev: event.Received{From: s.agentID, Message: m}}.holdIfFrozen(s.entry))
+				s.entry.push(heldMessage{session: s, ev: event.Received{From: s.agentID, Message: m.msg}}.holdIfFrozen(s.entry))
 			}
 		}
 	}
@@ -178,7 +189,7 @@
 			p.performAll(p.machine.Handle(s.world.now, event.SessionDown{Peer: s.agentID}))
 		}
 	}
-	s.world.after(latency, func() { s.notifyClosed(p, other) })
+	s.world.after(s.world.cfg.Latency, func() { s.notifyClosed(p, other) })
 }
 
 func (s *session) notifyClosed(by, other *proc) {
@@ -259,7 +270,7 @@
 			if s.agent == p {
 				other = s.entry
 			}
-			w.after(latency, func() { s.notifyClosed(p, other) })
+			w.after(w.cfg.Latency, func() { s.notifyClosed(p, other) })
 		}
 	}
 	if !powerLoss && !p.isAgent {
