Send a task again only on a proof that covers its order

Cause: an agent lists its runs not only when a session begins but each time its backend server is new. The dispatcher took each list as complete and queued every task again that it had sent there and that wasn't in it, also one whose order was still on its way. The agent, ready again one poll later, carried that order out, and the task ran elsewhere too. Class: what is absent from an observation was taken as over, though the observation is older than the order.

Why this works: orders and reports of a session are in order, and a report names the last order that it accounts for. An order with a higher number isn't covered by the list, so its task stays where it was sent until the agent reports an end, a later list covers the order, or the session ends. requeue takes a proof (an end that was reported, a list that covers the order, lapsed leases, a restarted agent), which its log line names, so that nothing is sent again for absence alone. A run that a new session has found is covered by every later list of it.

--- a/internal/disp/agent_controller.go
+++ b/internal/disp/agent_controller.go
@@ -196,8 +196,8 @@
 	m.placementDue = m.placementDue || mayFit
 }
 
-// reattach compares the tasks lost with a session to the agent's inventory: runs that the agent still has go on, the others are
-// queued again.
+// reattach compares the tasks sent to an agent to its inventory: runs that the agent has go on, and the others are queued again unless
+// their order may still arrive.
 func (m *Machine) reattach(v *agentView, inv *proto.Inventory) {
 	v.attached = true
 	m.note(event.Note{Name: "inventory", Peer: v.id, Count: len(inv.Runs), Seq: v.ackedSeq})
@@ -213,10 +213,11 @@
 			}
 			ref := proto.RunRef{Task: t.name, Run: t.run}
 			if unmatched[ref] {
-				t.state = sent
+				// The number of an order of an earlier session doesn't count in this one.
+				t.state, t.seq = sent, 0
 				delete(unmatched, ref)
-			} else {
-				m.requeue(j, t, "not_in_inventory")
+			} else if p, ok := v.inventoryProof(t); ok {
+				m.requeue(j, t, p)
 			}
 		}
 		m.updateQueued(j)
@@ -256,7 +257,7 @@
 		for _, t := range j.tasks {
 			if t.state == lost && t.agent == id {
 				t.ran = true
-				m.requeue(j, t, "agent_restarted")
+				m.requeue(j, t, agentRestarted)
 			}
 		}
 		m.updateQueued(j)
--- a/internal/disp/job_controller.go
+++ b/internal/disp/job_controller.go
@@ -136,20 +136,6 @@
 	return true
 }
 
-// requeue puts a task back into the wait queue after its run is over, for the reason that is logged. Runs that an agent sent back
-// unstarted are only counted.
-func (m *Machine) requeue(j *job, t *task, reason string) {
-	returned := reason == string(proto.EndNoRoom) || reason == string(proto.EndNotBegun)
-	m.note(event.Note{
-		Name: "task_requeued", Job: t.name, Class: j.Queue, Reason: reason, Peer: t.agent, Run: t.run, Seq: t.seq, Took: m.now - j.received, Quiet: returned,
-	})
-	t.resent = t.resent || !returned
-	t.state = waiting
-	t.agent = ""
-	m.waitQueue.Put(j.queued)
-	m.placementDue = true
-}
-
 // updateQueued updates whether a job has begun, and removes it from the wait queue while none of its tasks is waiting.
 func (m *Machine) updateQueued(j *job) {
 	if m.jobs[j.ID] != j {
@@ -197,7 +183,7 @@
 		switch {
 		case m.now >= t.lapseAt:
 			t.ran = true
-			m.requeue(j, t, "lease_lapsed")
+			m.requeue(j, t, leaseLapsed)
 		case !mayReturn && t.lapseAt+j.Steps[t.step].Estimate > usefulUntil:
 			m.giveUp(j, "agent_lost")
 			return
--- a/internal/disp/run_outcomes.go
+++ b/internal/disp/run_outcomes.go
@@ -20,23 +20,23 @@
 	case proto.EndDone:
 		m.taskDone(v, j, t, e)
 	case proto.EndFailed:
-		m.taskFailed(v, j, t)
+		m.taskFailed(v, j, t, e)
 	case proto.EndStalled:
 		t.ran = true
 		t.avoid = v.id
 		v.failureRate += stallWeight * (1 - v.failureRate)
 		m.note(event.Note{Name: "task_stalled", Job: t.name, Peer: v.id})
-		m.requeue(j, t, string(e.How))
+		m.requeue(j, t, reportedEnd(e))
 	case proto.EndNoRoom:
 		j.returned++
-		m.requeue(j, t, string(e.How))
+		m.requeue(j, t, reportedEnd(e))
 	case proto.EndNotBegun:
 		v.backoffUntil = m.now + beginBackoff
-		m.requeue(j, t, string(e.How))
+		m.requeue(j, t, reportedEnd(e))
 		t.run += runNumberSkip
 	default:
 		t.ran = true
-		m.requeue(j, t, string(e.How))
+		m.requeue(j, t, reportedEnd(e))
 	}
 	m.updateQueued(j)
 }
@@ -84,7 +84,7 @@
 	m.finish(j, Completed, "")
 }
 
-func (m *Machine) taskFailed(v *agentView, j *job, t *task) {
+func (m *Machine) taskFailed(v *agentView, j *job, t *task, e proto.End) {
 	t.ran = true
 	t.failures++
 	v.failureRate += ewmaWeight * (1 - v.failureRate)
@@ -94,7 +94,7 @@
 		return
 	}
 	t.avoid = v.id
-	m.requeue(j, t, string(proto.EndFailed))
+	m.requeue(j, t, reportedEnd(e))
 }
 
 // recordDuration updates the ratio of actual to estimated duration of a task's queue.
--- a/internal/emul/drawn_test.go
+++ b/internal/emul/drawn_test.go
@@ -30,9 +30,23 @@
 // job begins, and every task of a job that is answered as complete has finished.
 func TestDrawnFaults(t *testing.T) {
 	t.Parallel()
+	checkDrawn(t, randomConfig)
+}
+
+// The same while backend servers are replaced within a moment, at the distance of two zones and of two regions.
+func TestDrawnFaultsBesideReplacements(t *testing.T) {
+	t.Parallel()
+	checkDrawn(t, func(seed uint64) Config {
+		cfg := randomConfig(seed)
+		cfg.Latency, cfg.ReplaceEvery = []clock.Millis{3, 8}[seed%2], 400
+		return cfg
+	})
+}
+
+func checkDrawn(t *testing.T, config func(seed uint64) Config) {
 	results := map[disp.Result]int{}
 	for i := range uint64(*seeds) {
-		w := Drawn(randomConfig(*firstSeed+i), *trace, sessionLength)
+		w := Drawn(config(*firstSeed+i), *trace, sessionLength)
 		for _, c := range w.callers {
 			results[c.Answer]++
 		}
--- a/internal/emul/faults.go
+++ b/internal/emul/faults.go
@@ -14,6 +14,7 @@
 	w.Run(2 * clock.Second)
 	w.scheduleJobs(length, failShare)
 	w.scheduleFaults(length)
+	w.scheduleReplacements(length)
 	w.Run(length + 12*clock.Second)
 	return w
 }
@@ -96,6 +97,19 @@
 	}
 }
 
+// scheduleReplacements replaces backend servers at random times; each is back within a moment.
+func (w *World) scheduleReplacements(length clock.Millis) {
+	if w.cfg.ReplaceEvery == 0 || w.now > length {
+		return
+	}
+	w.after(clock.Millis(1+w.rng.IntN(int(2*w.cfg.ReplaceEvery))), func() {
+		if agent := w.rng.IntN(len(w.agents)); w.agents[agent].backend.up {
+			w.ReplaceBackend(agent, clock.Millis(w.rng.IntN(80)))
+		}
+		w.scheduleReplacements(length)
+	})
+}
+
 func (w *World) cutFor(e, a *proc, span clock.Millis, toAgent, toEntry bool) {
 	if toAgent {
 		w.Cut(e.name, a.name)
--- a/internal/emul/world.go
+++ b/internal/emul/world.go
@@ -42,6 +42,8 @@
 	HoldMost clock.Millis
 	// Latency is the one-way delay of a message between an entry and an agent, in milliseconds.
 	Latency clock.Millis
+	// ReplaceEvery is the mean time between replacements of backend servers in a drawn session, in milliseconds; zero draws none.
+	ReplaceEvery clock.Millis
 }
 
 // DefaultConfig returns a small deployment with the timeouts and intervals that the processes use by default.
