Let a restarted backend server's list of runs decide whose a run is

Callers saw a task at work twice: jobs that came right after a backend server had started again under its id ran there, were given up when the agent learned of the restart, and started elsewhere while they ran on until a stop took effect, some 40 ms later.

Cause: an agent that heard of a new incarnation counted each confirmed run as one of the old incarnation unless the answer to the start had named the new one. Answers to starts and stops need not name it; only heartbeats and lists of runs do. So a run that the new incarnation had itself confirmed counted as over, although the same answer listed it.

Now a run belongs to an incarnation that an answer or a list has named for it. News of a new incarnation ends the runs that are known to be of an older one, at once as before. For the others the list of the new incarnation decides, as it does otherwise: listed, it goes on; not listed by a poll sent after the start was confirmed, it is over; else the next poll decides. Until then its capacity is taken. A poll that was pending at the news is dropped, since the old incarnation may have answered it, and so is what it acknowledges. A stop that was answered before the news is sent again, and settles a start without an answer only when it is answered again: the old incarnation's answer keeps the new one from nothing.

Evidence, seen failing before the fix: TestRunOfAnIncarnationThatIsNotNamedYetGoesOn (lease_controller_test.go:54, "new.0.0.0" is nil, want a run), TestNewIncarnationDecidesByAPollSentAfterTheStart, TestLateListOfTheOldIncarnationDecidesNothing and TestStopIsRepeatedAtANewIncarnation.

--- a/internal/emul/faults.go
+++ b/internal/emul/faults.go
@@ -134,6 +134,9 @@
 	})
 }
 
+// quickRestart bounds the downtime of a backend server that is back before its agent has noticed the end, in milliseconds.
+const quickRestart = 40
+
 func (w *World) crashBackend(a *proc, span clock.Millis) {
 	if !a.backend.up {
 		return
@@ -145,5 +148,8 @@
 	}
 	a.backend.crash()
 	a.backend.refuses = w.rng.IntN(2) == 0
+	if w.rng.IntN(2) == 0 {
+		span = clock.Millis(1 + w.rng.IntN(quickRestart))
+	}
 	w.after(span, func() { a.backend.restart(id) })
 }
--- a/internal/emul/orders.go
+++ b/internal/emul/orders.go
@@ -60,9 +60,9 @@
 	until := w.leaseEnd(o.Lease)
 	w.request(p, o.Timeout, func(r *backend) event.Event {
 		if r.id != o.Instance {
-			return runs.StartDone{Task: o.Task, Run: o.Run, Outcome: runs.OrderGone, Born: r.born}
+			return runs.StartDone{Task: o.Task, Run: o.Run, Outcome: runs.OrderGone}
 		}
-		return runs.StartDone{Task: o.Task, Run: o.Run, Outcome: r.start(o, until), Born: r.born}
+		return runs.StartDone{Task: o.Task, Run: o.Run, Outcome: r.start(o, until)}
 	}, runs.StartDone{Task: o.Task, Run: o.Run, Outcome: runs.OrderUnknown})
 }
 
@@ -71,7 +71,7 @@
 		if r.id != o.Instance {
 			return runs.HaltDone{Task: o.Task, Run: o.Run, Outcome: runs.OrderGone}
 		}
-		return runs.HaltDone{Task: o.Task, Run: o.Run, Outcome: r.halt(o), Born: r.born}
+		return runs.HaltDone{Task: o.Task, Run: o.Run, Outcome: r.halt(o)}
 	}, runs.HaltDone{Task: o.Task, Run: o.Run, Outcome: runs.OrderUnknown})
 }
 
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -174,8 +174,10 @@
 	startedAt    clock.Millis
 	workingSince clock.Millis
 	haltSentAt   clock.Millis
-	// incarnation is the Born of the backend server that confirmed the start; zero until then.
+	// incarnation is the Born that the backend server named in the answer to the start or in a list of runs; zero until then.
 	incarnation int64
+	// confirmed says that the backend server has confirmed the start.
+	confirmed bool
 	// firstPoll is the number of the first poll sent after the start or a stop was confirmed; zero until then.
 	firstPoll uint64
 	// startUncertain says that the start got no answer, so the run may still appear.
--- a/internal/runs/lease_controller.go
+++ b/internal/runs/lease_controller.go
@@ -26,23 +26,14 @@
 	}
 }
 
-// checkIncarnation processes the incarnation named in an answer. If it is a new one under the same id, the runs
-// of the old one have ended; runs whose start is unanswered or was confirmed by the new incarnation go on.
-func (m *Machine) checkIncarnation(born int64) {
+// checkIncarnation processes the incarnation named in an answer and reports whether it is a new one under the same id.
+func (m *Machine) checkIncarnation(born int64) bool {
 	in := m.instance
-	if in == nil || born == 0 || born <= in.Born {
-		return
+	if in == nil || born <= in.Born {
+		return false
 	}
 	m.note(event.Note{Name: "backend_server_reborn", Instance: in.ID, Count: len(m.runs)})
 	m.rejectAllQueued()
-	for _, task := range m.sortedTasks() {
-		r := m.runs[task]
-		if r.incarnation == born || (r.incarnation == 0 && (r.phase == starting || r.startUncertain)) {
-			continue
-		}
-		m.note(event.Note{Name: "run_lost", Job: r.task, Reason: "backend_server_reborn", Peer: r.peer})
-		m.finishRun(r, proto.EndStopped)
-	}
 	fresh := *in
 	fresh.Born = born
 	fresh.Seq = 0
@@ -50,8 +41,32 @@
 	m.unannounced = true
 	m.settled = false
 	m.lastEndSeen, m.lastEndAcked = 0, 0
+	// The pending poll may have been answered by the old incarnation.
+	m.poll = nil
 	clear(m.orphans)
+	for _, task := range m.sortedTasks() {
+		m.enterIncarnation(m.runs[task])
+	}
 	m.markAllFull()
+	return true
+}
+
+// enterIncarnation ends a run that is known to belong to an earlier incarnation of the backend server. An answer to a start need
+// not name the incarnation, so that any other run may belong to the current one, whose list of runs decides.
+func (m *Machine) enterIncarnation(r *run) {
+	if r.incarnation != 0 && r.incarnation != m.instance.Born {
+		m.note(event.Note{Name: "run_lost", Job: r.task, Reason: "backend_server_reborn", Peer: r.peer})
+		m.finishRun(r, proto.EndStopped)
+		return
+	}
+	if !r.confirmed {
+		r.firstPoll = 0
+	}
+	if r.phase == stopping {
+		// The stop may have been answered by the old incarnation.
+		r.halted = false
+		m.sendHalt(r)
+	}
 }
 
 func (m *Machine) adoptInstance(in Instance) {
@@ -192,9 +207,10 @@
 	case m.instance == nil || ev.Born < m.instance.Born:
 		return
 	}
-	m.checkIncarnation(ev.Born)
+	if !m.checkIncarnation(ev.Born) {
+		m.lastEndAcked = max(m.lastEndAcked, poll.AckedEnd)
+	}
 	m.health.resetUnanswered()
-	m.lastEndAcked = max(m.lastEndAcked, poll.AckedEnd)
 	for _, e := range ev.Ended {
 		m.handleEnded(e)
 	}
@@ -259,6 +275,9 @@
 	listed := make(map[string]int, len(ev.Running))
 	for _, r := range ev.Running {
 		listed[r.Task] = r.Run
+		if own := m.runs[r.Task]; own != nil && own.run == r.Run {
+			own.incarnation = ev.Born
+		}
 		m.stopOrphan(r)
 		m.checkProgress(r)
 	}
--- /dev/null
+++ b/internal/runs/lease_controller_test.go
@@ -0,0 +1,116 @@
+package runs
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"corianderspur.example/corianderspur/internal/event"
+	"corianderspur.example/corianderspur/internal/proto"
+)
+
+// confirmUnnamed answers the start of a job's run without naming the incarnation that has started it.
+func (a *agentTest) confirmUnnamed(job string) {
+	a.handle(StartDone{Task: job + ".0.0.0", Run: 1, Outcome: OrderDone})
+}
+
+// answerPollAs answers the pending poll as an incarnation of the backend server.
+func (a *agentTest) answerPollAs(born int64, running ...Running) {
+	a.t.Helper()
+	qt.Assert(a.t, a.m.poll, qt.IsNotNil)
+	a.handle(PollDone{Number: a.m.poll.Number, Outcome: OrderDone, Born: born, Running: running})
+}
+
+// restartBehind returns an agent with a run that the old incarnation has listed, and one that a new incarnation has confirmed
+// before the agent knows of it.
+func restartBehind(t *testing.T) *agentTest {
+	a := newAgentTest(t)
+	a.begin("e1/1", "old", 1000)
+	a.confirmUnnamed("old")
+	a.answerPollAs(1, Running{Task: "old.0.0.0", Run: 1})
+	a.begin("e2/1", "new", 1000)
+	a.confirmUnnamed("new")
+	return a
+}
+
+// Case 3 of the review: runs that a restarted backend server had confirmed counted as those of the life before and started elsewhere.
+func TestRunOfAnIncarnationThatIsNotNamedYetGoesOn(t *testing.T) {
+	tests := map[string]func(a *agentTest){
+		"poll before heartbeat": func(a *agentTest) {
+			a.answerPollAs(2, Running{Task: "new.0.0.0", Run: 1})
+			a.handle(Announced{Instance: instance(2)})
+		},
+		"heartbeat before poll": func(a *agentTest) {
+			a.handle(Announced{Instance: instance(2)})
+			qt.Check(a.t, a.m.runs["old.0.0.0"], qt.IsNil)
+			qt.Check(a.t, a.m.used.CPU, qt.Equals, int64(1000))
+			qt.Check(a.t, a.m.accepting(), qt.IsFalse)
+		},
+	}
+	for name, learn := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := restartBehind(t)
+			learn(a)
+			qt.Check(t, a.reportedEnds("e2/1"), qt.HasLen, 0)
+			qt.Assert(t, a.m.runs["new.0.0.0"], qt.IsNotNil)
+			a.answerPollAs(2, Running{Task: "new.0.0.0", Run: 1})
+			qt.Check(t, a.m.runs["old.0.0.0"], qt.IsNil)
+			qt.Check(t, a.m.used.CPU, qt.Equals, int64(1000))
+			qt.Check(t, a.m.accepting(), qt.IsTrue)
+			qt.Check(t, a.m.runs["new.0.0.0"].incarnation, qt.Equals, int64(2))
+
+			a.handle(Announced{Instance: instance(3)})
+			qt.Check(t, a.reportedEnds("e2/1"), qt.DeepEquals, []proto.EndReason{proto.EndStopped})
+		})
+	}
+}
+
+// A run that a new incarnation does not list is over if the poll was sent after the start was confirmed, else the next poll decides.
+func TestNewIncarnationDecidesByAPollSentAfterTheStart(t *testing.T) {
+	a := newAgentTest(t)
+	a.begin("e1/1", "before", 1000)
+	a.confirmUnnamed("before")
+	a.answerPollAs(1)
+	qt.Assert(t, a.m.runs["before.0.0.0"], qt.IsNotNil)
+	a.begin("e2/1", "after", 1000)
+	a.confirmUnnamed("after")
+
+	a.answerPollAs(2)
+	qt.Check(t, a.m.runs["before.0.0.0"], qt.IsNil)
+	qt.Check(t, a.m.used.CPU, qt.Equals, int64(1000))
+	a.answerPollAs(2)
+	qt.Check(t, a.reportedEnds("e2/1"), qt.DeepEquals, []proto.EndReason{proto.EndStopped})
+	qt.Check(t, a.m.used.CPU, qt.Equals, int64(0))
+}
+
+// A poll of the old incarnation that is answered behind the heartbeat of the new one says nothing of the new one's runs.
+func TestLateListOfTheOldIncarnationDecidesNothing(t *testing.T) {
+	a := restartBehind(t)
+	late := a.m.poll.Number
+	a.handle(Announced{Instance: instance(2)})
+	qt.Assert(t, a.m.poll.Number > late, qt.IsTrue)
+	a.handle(PollDone{Number: late, Outcome: OrderDone, Born: 1, Running: []Running{{Task: "old.0.0.0", Run: 1}}})
+	qt.Check(t, a.m.runs["new.0.0.0"], qt.IsNotNil)
+	qt.Check(t, a.m.accepting(), qt.IsFalse)
+	a.answerPollAs(2, Running{Task: "new.0.0.0", Run: 1})
+	qt.Check(t, a.m.accepting(), qt.IsTrue)
+}
+
+// A stop that the old incarnation has answered does not keep a start that is still on its way from being carried out by the new one.
+func TestStopIsRepeatedAtANewIncarnation(t *testing.T) {
+	a := newAgentTest(t)
+	a.begin("e1/1", "j1", 1000)
+	halt := event.Received{From: "e1/1", Message: proto.Message{Orders: &proto.Orders{Halts: []proto.RunRef{{Task: "j1.0.0.0", Run: 1}}}}}
+	a.handle(halt)
+	a.handle(HaltDone{Task: "j1.0.0.0", Run: 1, Outcome: OrderDone})
+	a.answerPollAs(1)
+	a.handle(Announced{Instance: instance(2)})
+	qt.Check(t, actions[HaltRun](a), qt.HasLen, 1)
+	a.answerPollAs(2)
+	qt.Assert(t, a.m.runs["j1.0.0.0"], qt.IsNotNil)
+
+	a.handle(HaltDone{Task: "j1.0.0.0", Run: 1, Outcome: OrderDone})
+	a.handle(StartDone{Task: "j1.0.0.0", Run: 1, Outcome: OrderOld})
+	qt.Check(t, a.reportedEnds("e1/1"), qt.DeepEquals, []proto.EndReason{proto.EndNotBegun})
+	qt.Check(t, a.m.used.CPU, qt.Equals, int64(0))
+}
--- a/internal/runs/run_controller.go
+++ b/internal/runs/run_controller.go
@@ -91,6 +91,7 @@
 		r.progressAt = m.now
 	}
 	r.firstPoll = m.lastPoll + 1
+	r.confirmed = true
 	r.startUncertain = false
 }
 
