Count the runs of a backend server that leaves as over only with a proof

A backend server announces its planned end with a call and ends behind it: its process is still up while the call is answered, and its runs go on for that moment. The agent counted them as over at the call, and the entries started their tasks elsewhere, so that a task could be at work twice until the process had ended.

Now nothing more starts there from the call on and polls renew nothing, but the agent goes on polling. The runs are over when the machine refuses two polls in a row, another instance answers or announces itself, the ends are listed, a poll sent after the start or a stop was confirmed does not list them, or the lease has lapsed. Their capacity is taken until then. Once no run is left the agent forgets the backend server, as it did at the call before. A process whose machine refuses connections is found out after some 60 ms; one that falls silent instead costs its runs the rest of the lease, 0.8 s.

The emulator had no planned ends.

--- a/internal/emul/faults.go
+++ b/internal/emul/faults.go
@@ -58,7 +58,7 @@
 	e := w.entries[w.rng.IntN(len(w.entries))]
 	a := w.agents[w.rng.IntN(len(w.agents))]
 	span := clock.Millis(100 + w.rng.IntN(4000))
-	switch w.rng.IntN(12) {
+	switch w.rng.IntN(13) {
 	case 0:
 		w.Kill(e, w.rng.IntN(2) == 0, span)
 	case 1:
@@ -94,6 +94,8 @@
 		for _, s := range w.sessionsOf(e) {
 			s.close(e)
 		}
+	case 12:
+		w.leaveBackend(a, span)
 	}
 }
 
@@ -153,3 +155,26 @@
 	}
 	w.after(span, func() { a.backend.restart(id) })
 }
+
+// leaveLinger bounds how long a backend server goes on after it has announced its end, in milliseconds.
+const leaveLinger = 200
+
+// leaveBackend makes a backend server announce its end and end a little later; another one takes its place after span.
+func (w *World) leaveBackend(a *proc, span clock.Millis) {
+	r := a.backend
+	if !r.up || r.leaving {
+		return
+	}
+	w.logf("the backend server of %s leaves", a.name)
+	r.leaving = true
+	a.push(runs.InstanceLeft{ID: r.id})
+	born, id, refuses := r.born, r.id+"x", w.rng.IntN(2) == 0
+	w.after(clock.Millis(1+w.rng.IntN(leaveLinger)), func() {
+		if !r.up || r.born != born {
+			return
+		}
+		r.crash()
+		r.refuses = refuses
+		w.after(span, func() { r.restart(id) })
+	})
+}
--- a/internal/emul/runner.go
+++ b/internal/emul/runner.go
@@ -33,6 +33,8 @@
 	up    bool
 	// refuses says that the machine refuses connections while the backend server is down.
 	refuses bool
+	// leaving says that the backend server has announced its end: it sends no more heartbeats.
+	leaving bool
 	// hung: runs that start meanwhile never end on their own. slowdown multiplies the duration of runs that start meanwhile.
 	hung     bool
 	slowdown float64
--- a/internal/emul/world.go
+++ b/internal/emul/world.go
@@ -224,7 +224,7 @@
 
 func (w *World) announce(p *proc) {
 	p.announceSeq++
-	if p.up && p.backend.up {
+	if p.up && p.backend.up && !p.backend.leaving {
 		p.push(runs.Announced{Instance: p.backend.instance(p.announceSeq)})
 	}
 	w.after(announceEvery, func() { w.announce(p) })
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -50,7 +50,7 @@
 	Instance Instance
 }
 
-// InstanceLeft reports the planned end of the backend server.
+// InstanceLeft announces the planned end of the backend server, whose process goes on for a moment.
 type InstanceLeft struct {
 	ID string
 }
@@ -236,10 +236,12 @@
 	instance *Instance
 	// unannounced says that this incarnation is known only from answers to orders, so its capacity is unknown.
 	unannounced bool
-	departed    map[string]bool
-	peers       map[shard.ID]*peer
-	runs        map[string]*run
-	used        room.Resources
+	// leaving says that the backend server has announced its end, while its runs may go on.
+	leaving  bool
+	departed map[string]bool
+	peers    map[shard.ID]*peer
+	runs     map[string]*run
+	used     room.Resources
 	// queuedNeed is the capacity that queued runs need, and queue their tasks by rank, then in the order of arrival.
 	queuedNeed room.Resources
 	queue      []string
--- a/internal/runs/lease_controller.go
+++ b/internal/runs/lease_controller.go
@@ -39,6 +39,7 @@
 	fresh.Seq = 0
 	m.instance = &fresh
 	m.unannounced = true
+	m.leaving = false
 	m.settled = false
 	m.lastEndSeen, m.lastEndAcked = 0, 0
 	// The pending poll may have been answered by the old incarnation.
@@ -72,6 +73,7 @@
 func (m *Machine) adoptInstance(in Instance) {
 	m.instance = &in
 	m.unannounced = false
+	m.leaving = false
 	m.lastEndSeen = 0
 	m.lastEndAcked = 0
 	m.settled = false
@@ -97,15 +99,26 @@
 	}
 }
 
-// handleGone processes the planned end of the backend server.
+// handleGone processes the planned end of the backend server. Its process may go on for a moment after it has announced its end:
+// nothing more starts there and its lease is not renewed, and its runs go on until their end or that of the process is known.
 func (m *Machine) handleGone(id string) {
 	if m.instance == nil || m.instance.ID != id {
 		return
 	}
 	m.departed[id] = true
 	m.note(event.Note{Name: "backend_server_left", Instance: id, Count: len(m.runs)})
-	m.endAllRuns("backend_server_left")
+	m.leaving = true
+	m.rejectAllQueued()
+	m.markAllDirty()
+}
+
+// forgetInstance leaves the agent without a backend server until the next one announces itself.
+func (m *Machine) forgetInstance() {
+	if m.instance == nil {
+		return
+	}
 	m.instance = nil
+	m.leaving = false
 	m.settled = false
 	m.poll = nil
 	m.markAllFull()
@@ -140,6 +153,9 @@
 		poll.Wait = stopPollWait
 		poll.Timeout = stopPollWait + m.cfg.OrderTimeout
 	}
+	if m.leaving {
+		poll.Lease = 0
+	}
 	if !m.settled || len(m.runs) == 0 {
 		poll.Lease = 0
 		poll.Wait = 0
@@ -220,11 +236,7 @@
 // handleInstanceLost ends all runs after the backend server answered that their incarnation has ended.
 func (m *Machine) handleInstanceLost() {
 	m.endAllRuns("backend_server_gone")
-	if m.instance != nil {
-		m.instance = nil
-		m.settled = false
-		m.markAllFull()
-	}
+	m.forgetInstance()
 }
 
 // handleUnreachable ends all runs once the backend server's process counts as ended.
--- a/internal/runs/lease_controller_test.go
+++ b/internal/runs/lease_controller_test.go
@@ -5,6 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/event"
 	"corianderspur.example/corianderspur/internal/proto"
 )
@@ -114,3 +115,81 @@
 	qt.Check(t, a.reportedEnds("e1/1"), qt.DeepEquals, []proto.EndReason{proto.EndNotBegun})
 	qt.Check(t, a.m.used.CPU, qt.Equals, int64(0))
 }
+
+// leaveWithRun returns an agent whose backend server has announced its end with a run in progress.
+func leaveWithRun(t *testing.T) *agentTest {
+	a := newAgentTest(t)
+	a.begin("e1/1", "j1", 1000)
+	a.confirmUnnamed("j1")
+	a.handle(InstanceLeft{ID: "r1"})
+	return a
+}
+
+// The backend server goes on for a moment after it has announced its end: its runs counted as over at once and started elsewhere.
+func TestRunsOfALeavingBackendServerGoOnUntilItsEndIsProved(t *testing.T) {
+	tests := map[string]func(a *agentTest){
+		"its machine refuses polls": func(a *agentTest) {
+			for range goneAfter {
+				qt.Check(a.t, a.m.runs, qt.HasLen, 1)
+				a.advance(40)
+				a.handle(PollDone{Number: a.m.poll.Number, Outcome: OrderUnreachable})
+			}
+		},
+		"another instance answers": func(a *agentTest) {
+			a.handle(PollDone{Number: a.m.poll.Number, Outcome: OrderGone})
+		},
+		"another instance announces itself": func(a *agentTest) {
+			in := instance(2)
+			in.ID = "r2"
+			a.handle(Announced{Instance: in})
+		},
+		"the end is listed": func(a *agentTest) {
+			a.handle(PollDone{Number: a.m.poll.Number, Outcome: OrderDone, Born: 1, Ended: []Ended{{N: 1, Task: "j1.0.0.0", Run: 1, How: proto.EndStopped}}})
+		},
+		"a later poll does not list it": func(a *agentTest) {
+			a.answerPollAs(1)
+			a.answerPollAs(1)
+		},
+		"the lease has lapsed": func(a *agentTest) {
+			for len(a.m.runs) > 0 && a.now < 2000 {
+				a.now += 10
+				a.orders("e1/1", a.now)
+				if a.m.poll != nil {
+					qt.Check(a.t, a.m.poll.Lease == 0 || a.now == 10, qt.IsTrue)
+					a.handle(PollDone{Number: a.m.poll.Number, Outcome: OrderUnknown})
+				}
+			}
+			qt.Check(a.t, a.now > 800 && a.now < 1000, qt.IsTrue, qt.Commentf("%d", a.now))
+		},
+	}
+	for name, prove := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := leaveWithRun(t)
+			qt.Check(t, a.reportedEnds("e1/1"), qt.HasLen, 0)
+			qt.Assert(t, a.m.runs, qt.HasLen, 1)
+			qt.Check(t, a.m.accepting(), qt.IsFalse)
+			prove(a)
+			qt.Check(t, a.reportedEnds("e1/1"), qt.DeepEquals, []proto.EndReason{proto.EndStopped})
+			qt.Check(t, a.m.used.CPU, qt.Equals, int64(0))
+
+			in := instance(3)
+			in.ID = "r3"
+			a.advance(100)
+			a.handle(Announced{Instance: in})
+			a.answerPollAs(3)
+			qt.Check(t, a.m.accepting(), qt.IsTrue)
+		})
+	}
+}
+
+// A backend server that leaves gets no new tasks and no renewal, also when its runs go on for long.
+func TestLeavingBackendServerGetsNothingNew(t *testing.T) {
+	a := leaveWithRun(t)
+	a.begin("e2/1", "j2", 1000)
+	qt.Check(t, actions[StartRun](a), qt.HasLen, 0)
+	qt.Check(t, a.reportedEnds("e2/1"), qt.DeepEquals, []proto.EndReason{proto.EndNotBegun})
+	for range 10 {
+		a.answerPollAs(1, Running{Task: "j1.0.0.0", Run: 1})
+		qt.Check(t, a.m.poll.Lease, qt.Equals, clock.Millis(0))
+	}
+}
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -38,6 +38,9 @@
 		m.tick()
 	}
 	m.expireQueued()
+	if m.leaving && len(m.runs) == 0 {
+		m.forgetInstance()
+	}
 	m.sendPoll()
 	m.offerNext()
 	m.sendReports()
@@ -83,7 +86,8 @@
 
 // accepting reports whether new tasks are accepted.
 func (m *Machine) accepting() bool {
-	return m.instance != nil && !m.unannounced && !m.instance.Draining && m.settled && !m.stopping && m.now >= m.backoffUntil && m.health.accepting(len(m.runs))
+	return m.instance != nil && !m.unannounced && !m.instance.Draining && !m.leaving && m.settled && !m.stopping && m.now >= m.backoffUntil &&
+		m.health.accepting(len(m.runs))
 }
 
 func (m *Machine) markAllDirty() {
