Count the lease of an order from its decision, not from its call

What it did: the agent and the dispatcher count a lease from the moment at which the agent's state machine decides on a start or a poll (leaseRenewedAt, expireLease, disp.markLost). The adapter computed the end that the backend server is told (`untilMs`) when its goroutine made the call. Between the two lie a starved or frozen process and the wait for one of eight connections: the lease there ended later than all others counted on by that time, and a start that was decided before a freeze was carried out after it with a fresh lease.

Orders carry the time of their decision, and the adapter counts from it, so that the backend server turns a late call away as late. The agent's loop and the adapter had clocks of their own with different origins; they now share one.

--- a/internal/emul/orders.go
+++ b/internal/emul/orders.go
@@ -51,13 +51,13 @@
 	})
 }
 
-// leaseEnd returns the latest end of a lease that is granted now, on a backend server with a slow clock.
-func (w *World) leaseEnd(lease clock.Millis) clock.Millis {
-	return w.now + lease + lease/clockDriftDivisor
+// leaseEnd returns the latest end of a lease from a time, on a backend server with a slow clock.
+func leaseEnd(at, lease clock.Millis) clock.Millis {
+	return at + lease + lease/clockDriftDivisor
 }
 
 func (w *World) requestStart(p *proc, o runs.StartRun) {
-	until := w.leaseEnd(o.Lease)
+	until := leaseEnd(o.At, o.Lease)
 	w.request(p, o.Timeout, func(r *backend) event.Event {
 		if r.id != o.Instance {
 			return runs.StartDone{Task: o.Task, Run: o.Run, Outcome: runs.OrderGone}
@@ -76,7 +76,7 @@
 }
 
 func (w *World) requestPoll(p *proc, o runs.Poll) {
-	until := w.leaseEnd(o.Lease)
+	until := leaseEnd(o.At, o.Lease)
 	incarnation := p.incarnation
 	noAnswer := runs.PollDone{Number: o.Number, Outcome: runs.OrderUnknown}
 	if w.rng.Float64() < w.cfg.LateShare {
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -36,15 +36,15 @@
 	cancel  context.CancelFunc
 }
 
-// NewKeeper creates a keeper that has not started.
-func NewKeeper(cfg conf.Keeper, incarnation string, runner Runner, log logr.Logger, m *meter.Meter) *Keeper {
+// NewKeeper creates a keeper that has not started. The runner counts leases on the same clock.
+func NewKeeper(cfg conf.Keeper, incarnation string, runner Runner, c clock.Clock, log logr.Logger, m *meter.Meter) *Keeper {
 	id := shard.ID(cfg.Name + "/" + incarnation)
 	machine := runs.New(runs.Config{
 		ID: id, Name: cfg.Name, Lease: cfg.LeaseMS, Silence: cfg.SilenceMS, IdleSilence: cfg.IdleSilenceMS, Reattach: cfg.ReattachMS, PollWait: cfg.PollWaitMS,
 		OrderTimeout: cfg.OrderTimeoutMS, DrainLimit: cfg.DrainLimitMS,
 	})
 	k := &Keeper{
-		id: id, machine: machine, loop: NewLoop(clock.NewBoot(), machine), runner: runner, notes: &notes{log: log, meter: m},
+		id: id, machine: machine, loop: NewLoop(c, machine), runner: runner, notes: &notes{log: log, meter: m},
 	}
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 	k.loop.gap = cfg.SilenceMS
--- a/internal/runs/clock_test.go
+++ b/internal/runs/clock_test.go
@@ -76,3 +76,14 @@
 		})
 	}
 }
+
+// A call that is made late must not get a longer lease than the agent counts on: orders say when they were decided.
+func TestLeasesOfOrdersCountFromTheirDecision(t *testing.T) {
+	a := newAgentTest(t)
+	a.now = 1234
+	a.begin("e1/1", "j1", 1000)
+	qt.Check(t, actions[StartRun](a)[0].At, qt.Equals, clock.Millis(1234))
+	a.confirmStart("j1")
+	qt.Check(t, a.m.poll.At, qt.Equals, a.m.leaseRenewedAt)
+	qt.Check(t, a.m.poll.At+a.m.poll.Lease, qt.Equals, clock.Millis(1234+800))
+}
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -61,7 +61,11 @@
 	Task     string
 	Run      int
 	Spec     string
-	// Lease is how long all runs at the backend server may continue from now, in milliseconds.
+	// Born names the life of the instance whose clock the lease is counted on.
+	Born int64
+	// At is when the start was decided. Lease is how long all runs at the backend server may continue from then, in milliseconds; a
+	// call that is made later gets no longer lease.
+	At      clock.Millis
 	Lease   clock.Millis
 	Timeout clock.Millis
 }
@@ -112,7 +116,11 @@
 // Poll asks the backend server for its runs and renews the lease of all of them.
 type Poll struct {
 	Instance string
-	// Lease is how long all runs at the backend server may continue from now, in milliseconds; zero renews nothing.
+	// Born names the life of the instance whose clock the lease is counted on.
+	Born int64
+	// At is when the poll was decided. Lease is how long all runs at the backend server may continue from then, in milliseconds; zero
+	// renews nothing.
+	At    clock.Millis
 	Lease clock.Millis
 	// AckedEnd is the number of the last end that the agent has processed.
 	AckedEnd uint64
--- a/internal/runs/lease_controller.go
+++ b/internal/runs/lease_controller.go
@@ -142,8 +142,8 @@
 	}
 	m.lastPoll++
 	poll := Poll{
-		Instance: m.instance.ID, Lease: m.cfg.Lease, AckedEnd: m.lastEndSeen, Wait: m.cfg.PollWait, Number: m.lastPoll,
-		Timeout: m.cfg.PollWait + m.cfg.OrderTimeout,
+		Instance: m.instance.ID, Born: m.instance.Born, At: m.now, Lease: m.cfg.Lease, AckedEnd: m.lastEndSeen, Wait: m.cfg.PollWait,
+		Number: m.lastPoll, Timeout: m.cfg.PollWait + m.cfg.OrderTimeout,
 	}
 	if m.pollAtOnce {
 		m.pollAtOnce = false
--- a/internal/runs/run_controller.go
+++ b/internal/runs/run_controller.go
@@ -39,7 +39,8 @@
 	m.used = m.used.Plus(r.need)
 	m.leaseRenewedAt = m.now
 	m.emit(StartRun{
-		Instance: m.instance.ID, Task: r.task, Run: r.run, Spec: r.spec, Lease: m.cfg.Lease, Timeout: m.cfg.OrderTimeout,
+		Instance: m.instance.ID, Born: m.instance.Born, Task: r.task, Run: r.run, Spec: r.spec, At: m.now, Lease: m.cfg.Lease,
+		Timeout: m.cfg.OrderTimeout,
 	})
 }
 
