Let all leases lapse while a revoked run may not have stopped

What it did: a run whose dispatcher is lost, or has withdrawn it since its caller has left, is stopped by an order. If the backend server leaves orders unanswered and carries them out seconds late, while it answers polls, the polls went on renewing the lease of everything there: the run went on beyond Silence + Lease + Lease/40, after which its dispatcher starts the task elsewhere, and beyond the 1.3 s after which a caller sends its job again. Two runs of one task at once.

While a run whose dispatcher has been silent for Silence hasn't acknowledged its stop, polls grant no lease and no start is made, since a start renews all as well; the same for stops that were ordered, once the answer is later than OrderTimeout. What is there then ends with the last lease.

The emulator's backend servers can leave all starts and stops, but no polls, unanswered for a time.

--- a/internal/emul/drawn_test.go
+++ b/internal/emul/drawn_test.go
@@ -61,6 +61,26 @@
 	qt.Check(t, results[disp.Completed] > results[disp.Refused], qt.IsTrue)
 }
 
+// Orders get no answer and are carried out seconds late while polls are answered: what has to stop must not go on by them.
+func TestDrawnFaultsBesideLateOrders(t *testing.T) {
+	t.Parallel()
+	for i := range uint64(*seeds) {
+		w := New(DefaultConfig(*firstSeed + i))
+		w.Verbose = *trace
+		w.Run(2 * clock.Second)
+		w.scheduleJobs(sessionLength, failShare)
+		w.scheduleFaults(sessionLength)
+		w.scheduleLateOrders(sessionLength)
+		w.Run(sessionLength + 12*clock.Second)
+		if len(w.Violations()) > 0 {
+			t.Errorf("seed %d: %v", *firstSeed+i, w.Violations()[0])
+			if *trace {
+				t.Log(w.Log.String())
+			}
+		}
+	}
+}
+
 // Each safeguard of the lease protocol is needed: without it some random session violates an invariant.
 func TestGuardsOfLeases(t *testing.T) {
 	guards := map[string]func(cfg *Config){
--- a/internal/emul/faults.go
+++ b/internal/emul/faults.go
@@ -53,6 +53,19 @@
 	w.after(500, next)
 }
 
+// scheduleLateOrders leaves the orders to one backend server after another unanswered.
+func (w *World) scheduleLateOrders(length clock.Millis) {
+	var next func()
+	next = func() {
+		if w.now > length {
+			return
+		}
+		w.LateOrders(w.rng.IntN(len(w.agents)), clock.Millis(500+w.rng.IntN(3000)))
+		w.after(clock.Millis(200+w.rng.IntN(2000)), next)
+	}
+	w.after(500, next)
+}
+
 // injectFault injects one random fault.
 func (w *World) injectFault() {
 	e := w.entries[w.rng.IntN(len(w.entries))]
--- /dev/null
+++ b/internal/emul/lease_test.go
@@ -0,0 +1,50 @@
+package emul
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/room"
+)
+
+// submitLong runs a job of one long task and returns the number of the agent at whose backend server it runs.
+func submitLong(t *testing.T, w *World, patience clock.Millis) (c *Caller, agent int) {
+	c = w.Submit(1, Tasks{Count: 1, Need: room.Resources{CPU: 1000}, Work: 6 * clock.Second, Estimate: 300, Patience: patience})
+	w.Run(w.now + 100)
+	for i, a := range w.agents {
+		if len(a.backend.runs) > 0 {
+			return c, i
+		}
+	}
+	t.Fatal("the task has not begun")
+	return nil, 0
+}
+
+// Stops get no answer while polls do: the runs of an entry that is lost must not go on until another entry starts their tasks.
+func TestUnansweredStopsEndWithTheLease(t *testing.T) {
+	for seed := range uint64(20) {
+		w := New(DefaultConfig(seed + 1))
+		w.Verbose = true
+		w.Run(3 * clock.Second)
+		c, agent := submitLong(t, w, 10*clock.Second)
+		w.LateOrders(agent, 4*clock.Second)
+		w.Kill(c.entry, false, 8*clock.Second)
+		w.Run(w.now + 6*clock.Second)
+		qt.Assert(t, w.Violations(), qt.HasLen, 0, qt.Commentf("seed %d\n%s", seed+1, w.Log.String()))
+	}
+}
+
+// The same for the runs of a caller that has left and sends its job again 1.3 s later.
+func TestUnansweredStopsOfALeftCallerEndWithTheLease(t *testing.T) {
+	for seed := range uint64(20) {
+		w := New(DefaultConfig(seed + 1))
+		w.Verbose = true
+		w.Run(3 * clock.Second)
+		_, agent := submitLong(t, w, 400)
+		w.LateOrders(agent, 4*clock.Second)
+		w.Run(w.now + 6*clock.Second)
+		qt.Assert(t, w.Violations(), qt.HasLen, 0, qt.Commentf("seed %d\n%s", seed+1, w.Log.String()))
+	}
+}
--- a/internal/emul/orders.go
+++ b/internal/emul/orders.go
@@ -19,7 +19,7 @@
 )
 
 // request executes a request at an agent's backend server and delivers the outcome to the agent. A share of the requests
-// (Config.LateShare) is executed late, and the agent gets noAnswer after the timeout.
+// (Config.LateShare), or all of them (LateOrders), are executed late, and the agent gets noAnswer after the timeout.
 func (w *World) request(p *proc, timeout clock.Millis, perform func(r *backend) event.Event, noAnswer event.Event) {
 	incarnation := p.incarnation
 	answer := func(ev event.Event) {
@@ -27,7 +27,7 @@
 			p.push(ev)
 		}
 	}
-	if w.rng.Float64() < w.cfg.LateShare {
+	if w.rng.Float64() < w.cfg.LateShare || p.backend.lateOrders {
 		w.after(clock.Millis(lateMin+w.rng.IntN(lateRange)), func() {
 			if p.backend.up {
 				perform(p.backend)
--- a/internal/emul/runner.go
+++ b/internal/emul/runner.go
@@ -38,6 +38,8 @@
 	// hung: runs that start meanwhile never end on their own. slowdown multiplies the duration of runs that start meanwhile.
 	hung     bool
 	slowdown float64
+	// lateOrders says that starts and stops get no answer and are executed late, while polls are answered.
+	lateOrders bool
 
 	leaseUntil clock.Millis
 	runs       map[string]*activeRun
--- a/internal/emul/world.go
+++ b/internal/emul/world.go
@@ -149,6 +149,15 @@
 	w.after(downtime, func() { r.restart(r.id + "x") })
 }
 
+// LateOrders leaves all starts and stops at the backend server of the agent with a number unanswered for a time; they are executed
+// seconds late. Polls are answered.
+func (w *World) LateOrders(agent int, span clock.Millis) {
+	r := w.agents[agent].backend
+	w.logf("late orders at %s", r.agent)
+	r.lateOrders = true
+	w.after(span, func() { r.lateOrders = false })
+}
+
 // LosePower ends all processes and all backend servers, which are back after the downtime.
 func (w *World) LosePower(downtime clock.Millis) {
 	for i, a := range w.agents {
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -206,6 +206,8 @@
 	stalled bool
 	// halted says that the backend server has acknowledged a stop of the run.
 	halted bool
+	// revokedAt is when the run's dispatcher ordered its end or was lost; zero until then.
+	revokedAt clock.Millis
 }
 
 // peer is a dispatcher.
@@ -267,13 +269,15 @@
 	// nextPollAt is when the next poll may be sent.
 	nextPollAt     clock.Millis
 	leaseRenewedAt clock.Millis
-	stopping       bool
-	drainDeadline  clock.Millis
-	exited         bool
-	backoffUntil   clock.Millis
-	health         health
-	usage          usage
-	pace           pace
+	// lapsing says that a stop of a revoked run is overdue, so that all leases lapse.
+	lapsing       bool
+	stopping      bool
+	drainDeadline clock.Millis
+	exited        bool
+	backoffUntil  clock.Millis
+	health        health
+	usage         usage
+	pace          pace
 	// offerRound counts the times that capacity became free, lastOffer the offers; nextOfferAt is when the next may be made, and
 	// offering says that there is capacity to offer.
 	offerRound  uint64
--- a/internal/runs/hold_controller.go
+++ b/internal/runs/hold_controller.go
@@ -52,7 +52,7 @@
 			m.rejectQueued(r)
 			continue
 		}
-		if !m.instance.Total.Minus(m.used).Fits(r.need) {
+		if !m.mayRenew() || !m.instance.Total.Minus(m.used).Fits(r.need) {
 			return
 		}
 		m.dequeue(r)
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -54,6 +54,7 @@
 	for _, task := range m.sortedTasks() {
 		m.retryHalt(m.runs[task])
 	}
+	m.checkRevoked()
 	m.checkPollTimeout()
 	if m.stopping && !m.exited && (len(m.runs) == 0 || m.now >= m.drainDeadline) && m.endsDelivered() {
 		m.exited = true
@@ -86,7 +87,7 @@
 
 // accepting reports whether new tasks are accepted.
 func (m *Machine) accepting() bool {
-	return m.instance != nil && !m.unannounced && !m.instance.Draining && !m.leaving && m.settled && !m.stopping && m.now >= m.backoffUntil &&
+	return m.instance != nil && !m.unannounced && !m.instance.Draining && !m.leaving && m.settled && !m.lapsing && !m.stopping && m.now >= m.backoffUntil &&
 		m.health.accepting(len(m.runs))
 }
 
--- a/internal/runs/peer_controller.go
+++ b/internal/runs/peer_controller.go
@@ -94,7 +94,12 @@
 
 func (m *Machine) haltRunsOf(p *peer) {
 	for _, task := range m.sortedTasks() {
-		if r := m.runs[task]; r.peer == p.id && r.phase != stopping {
+		r := m.runs[task]
+		if r.peer != p.id {
+			continue
+		}
+		m.revoke(r)
+		if r.phase != stopping {
 			m.note(event.Note{Name: "run_stopped", Job: r.task, Reason: "dispatcher_lost", Peer: p.id, Took: m.now - p.lastHeard})
 			m.haltRun(r)
 		}
@@ -167,7 +172,11 @@
 
 func (m *Machine) handleHalt(p *peer, ref proto.RunRef) {
 	r := m.runs[ref.Task]
-	if r == nil || r.peer != p.id || r.phase == stopping {
+	if r == nil || r.peer != p.id {
+		return
+	}
+	m.revoke(r)
+	if r.phase == stopping {
 		return
 	}
 	m.note(event.Note{Name: "run_stopped", Job: r.task, Reason: "ordered", Peer: p.id, Quiet: true})
--- a/internal/runs/run_controller.go
+++ b/internal/runs/run_controller.go
@@ -51,7 +51,7 @@
 		return proto.EndNotBegun
 	case m.runs[t.Task] != nil:
 		return proto.EndNotBegun
-	case !m.instance.Total.Minus(m.used).Minus(m.queuedNeed).Fits(t.Need):
+	case !m.mayRenew(), !m.instance.Total.Minus(m.used).Minus(m.queuedNeed).Fits(t.Need):
 		return proto.EndNoRoom
 	}
 	return ""
@@ -150,6 +150,7 @@
 		m.poll = nil
 		m.pollAtOnce = true
 	}
+	m.startQueued()
 }
 
 // finishRun frees the capacity of a run that has ended and reports the end to its dispatcher.
