Draw quick restarts and planned ends in sessions of their own

Sessions of TestDrawnFaults and TestGuardsOfLeases play what they did before; those beside replacements draw new ids, the same id and planned ends, at distances of 3 and 8 ms.

--- a/internal/emul/drawn_test.go
+++ b/internal/emul/drawn_test.go
@@ -38,7 +38,7 @@
 	t.Parallel()
 	checkDrawn(t, func(seed uint64) Config {
 		cfg := randomConfig(seed)
-		cfg.Latency, cfg.ReplaceEvery = []clock.Millis{3, 8}[seed%2], 400
+		cfg.Latency, cfg.ReplaceEvery = []clock.Millis{3, 8}[seed%2], 1000
 		return cfg
 	})
 }
--- a/internal/emul/faults.go
+++ b/internal/emul/faults.go
@@ -71,7 +71,7 @@
 	e := w.entries[w.rng.IntN(len(w.entries))]
 	a := w.agents[w.rng.IntN(len(w.agents))]
 	span := clock.Millis(100 + w.rng.IntN(4000))
-	switch w.rng.IntN(13) {
+	switch w.rng.IntN(12) {
 	case 0:
 		w.Kill(e, w.rng.IntN(2) == 0, span)
 	case 1:
@@ -107,20 +107,17 @@
 		for _, s := range w.sessionsOf(e) {
 			s.close(e)
 		}
-	case 12:
-		w.leaveBackend(a, span)
 	}
 }
 
-// scheduleReplacements replaces backend servers at random times; each is back within a moment.
+// scheduleReplacements ends backend servers at random times: most are back within a moment, under a new id or their own, and some
+// leave as planned.
 func (w *World) scheduleReplacements(length clock.Millis) {
 	if w.cfg.ReplaceEvery == 0 || w.now > length {
 		return
 	}
 	w.after(clock.Millis(1+w.rng.IntN(int(2*w.cfg.ReplaceEvery))), func() {
-		if agent := w.rng.IntN(len(w.agents)); w.agents[agent].backend.up {
-			w.ReplaceBackend(agent, clock.Millis(w.rng.IntN(80)))
-		}
+		w.replaceSomeBackend()
 		w.scheduleReplacements(length)
 	})
 }
@@ -136,6 +133,24 @@
 	}
 }
 
+// quickRestart bounds the downtime of a backend server that is back before its agent has noticed the end, in milliseconds.
+const quickRestart = 40
+
+func (w *World) replaceSomeBackend() {
+	agent := w.rng.IntN(len(w.agents))
+	a := w.agents[agent]
+	quick := clock.Millis(1 + w.rng.IntN(quickRestart))
+	switch draw := w.rng.IntN(8); {
+	case !a.backend.up:
+	case draw < 4:
+		w.ReplaceBackend(agent, 2*quick)
+	case draw < 7:
+		w.crashBackend(a, quick)
+	default:
+		w.leaveBackend(a, 20*quick)
+	}
+}
+
 // ReplaceBackend crashes the backend server of the agent with a number; another one takes its place after the downtime and
 // announces itself at once.
 func (w *World) ReplaceBackend(agent int, downtime clock.Millis) {
@@ -149,9 +164,6 @@
 	})
 }
 
-// quickRestart bounds the downtime of a backend server that is back before its agent has noticed the end, in milliseconds.
-const quickRestart = 40
-
 func (w *World) crashBackend(a *proc, span clock.Millis) {
 	if !a.backend.up {
 		return
@@ -163,9 +175,6 @@
 	}
 	a.backend.crash()
 	a.backend.refuses = w.rng.IntN(2) == 0
-	if w.rng.IntN(2) == 0 {
-		span = clock.Millis(1 + w.rng.IntN(quickRestart))
-	}
 	w.after(span, func() { a.backend.restart(id) })
 }
 
