Don't refuse a job whose run was listed, nor drop an end that was never received

What callers could have seen: 429 for a job of which a task had run, or its answer only at the deadline.

Cause: an agent forgets a dispatcher after 10 s without a session and numbered its ends from 1 again, while a dispatcher that was paused for as long acknowledges the number that it had. An end whose report is then lost is never repeated. A later list of runs lacks the run, and the dispatcher queued the task again as one of which nothing had begun.

Ends are numbered by the agent over all dispatchers, so that no number is used again. A task whose run a list has shown, or whose order a list covers without an end, counts as one that may have run.

--- a/internal/disp/agent_controller.go
+++ b/internal/disp/agent_controller.go
@@ -214,9 +214,10 @@
 			ref := proto.RunRef{Task: t.name, Run: t.run}
 			if unmatched[ref] {
 				// The number of an order of an earlier session doesn't count in this one.
-				t.state, t.seq = sent, 0
+				t.state, t.seq, t.ran = sent, 0, true
 				delete(unmatched, ref)
 			} else if p, ok := v.inventoryProof(t); ok {
+				t.ran = t.ran || t.state == sent
 				m.requeue(j, t, p)
 			}
 		}
--- a/internal/disp/inventory_test.go
+++ b/internal/disp/inventory_test.go
@@ -60,3 +60,17 @@
 	e.replaced("a1/1", 0)
 	qt.Check(t, e.m.jobs[jobOf(1, 1, 1000).ID].tasks[0].state, qt.Equals, waiting)
 }
+
+// A job whose run an inventory has listed may have run, also if a later inventory lacks the run and no end was reported.
+func TestJobWhoseRunWasListedIsNotRefused(t *testing.T) {
+	e := newEntryTest(t, "a1/1")
+	e.submit(1, jobOf(1, 1, 1000))
+	e.attach("a1/1", proto.RunRef{Task: taskName(0), Run: 1})
+	e.replaced("a1/1", 0)
+	r := e.reports["a1/1"]
+	r.Accepting = false
+	e.report("a1/1", r)
+	replies := e.pass(4000, "a1/1")
+	qt.Assert(t, replies, qt.HasLen, 1)
+	qt.Check(t, replies[0].Result, qt.Equals, Unknown)
+}
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -256,9 +256,12 @@
 	queuedNeed room.Resources
 	queue      []string
 	// orphans are runs at the backend server that this incarnation of the agent did not start, with the time of the last stop.
-	orphans     map[string]clock.Millis
-	settled     bool
-	lastEndSeen uint64
+	orphans map[string]clock.Millis
+	settled bool
+	// lastEndReported numbers the ends that are reported to any dispatcher: one that was forgotten and comes back may still
+	// acknowledge what it was sent before.
+	lastEndReported uint64
+	lastEndSeen     uint64
 	// lastEndAcked is the number of the last end whose processing the backend server has been told of.
 	lastEndAcked uint64
 	poll         *Poll
--- a/internal/runs/peer_controller.go
+++ b/internal/runs/peer_controller.go
@@ -189,7 +189,8 @@
 	if p == nil {
 		return
 	}
-	p.lastEnd++
+	m.lastEndReported++
+	p.lastEnd = m.lastEndReported
 	p.unackedEnds = append(p.unackedEnds, proto.End{N: p.lastEnd, Task: task, Run: run, How: how, TookMS: took})
 	p.dirty = true
 }
