Let a start that is under way outlive refused polls

What could have been seen: a task at work twice, at a backend server that crashed and came back under its id and elsewhere.

Cause: two refused polls end all runs, also those whose start isn't answered yet. Such a start may still be connecting, and reaches the process that takes the place of the one that refused; its answer found no run any more. The refused polls are older than that start's arrival, so that they prove nothing of it.

A start without an answer is now kept until its own answer, or until the last lease that could carry it has lapsed; all other runs end at once as before.

TestStartUnderWayBehindARefusedConnectionIsNotEnded failed before (ends reported: stopped, want none) and passes, as does TestOpenStartEndsWithItsLease, which guards the room; the tests of runs and emul pass.

--- a/internal/runs/lease_controller.go
+++ b/internal/runs/lease_controller.go
@@ -127,9 +127,16 @@
 // endAllRuns counts every run as ended and reports the ends, when the incarnation of the backend server has ended or the
 // lease has lapsed.
 func (m *Machine) endAllRuns(reason string) {
+	m.endRuns(reason, func(*run) bool { return true })
+}
+
+func (m *Machine) endRuns(reason string, over func(r *run) bool) {
 	m.rejectAllQueued()
 	for _, task := range m.sortedTasks() {
 		r := m.runs[task]
+		if !over(r) {
+			continue
+		}
 		m.note(event.Note{Name: "run_lost", Job: r.task, Reason: reason, Peer: r.peer})
 		m.finishRun(r, proto.EndStopped)
 	}
@@ -293,13 +300,16 @@
 	m.forgetInstance()
 }
 
-// handleUnreachable ends all runs once the backend server's process counts as ended.
+// handleUnreachable ends the runs once the backend server's process counts as ended. A start that isn't answered yet may reach a
+// process that takes its place under the same id, so its own answer or the end of its lease decides.
 func (m *Machine) handleUnreachable() {
 	m.health.unreachable++
-	if m.health.unreachable >= goneAfter && m.instance != nil {
-		m.note(event.Note{Name: "backend_server_unreachable", Instance: m.instance.ID, Count: len(m.runs)})
-		m.handleInstanceLost()
+	if m.health.unreachable < goneAfter || m.instance == nil {
+		return
 	}
+	m.note(event.Note{Name: "backend_server_unreachable", Instance: m.instance.ID, Count: len(m.runs)})
+	m.endRuns("backend_server_gone", func(r *run) bool { return r.phase != starting })
+	m.forgetInstance()
 }
 
 // expireLease counts all runs as ended and reports their ends once the last renewed lease has lapsed on the backend server's
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -55,6 +55,9 @@
 		m.retryHalt(m.runs[task])
 	}
 	m.checkRevoked()
+	if m.instance == nil {
+		m.expireLease()
+	}
 	m.checkPollTimeout()
 	if m.stopping && !m.exited && (len(m.runs) == 0 || m.now >= m.drainDeadline) && m.endsDelivered() {
 		m.exited = true
