Cancel jobs at whichever entry has them, by way of the agents

A request that arrived behind its job's cancel started the job.

Cause: internal/disp looked at its own jobs only, and every answer but "cancelled" became 410, also those of an entry that couldn't know: one that was suspended, has no session with an agent, or ends. Entries don't know each other and the store holds nothing of such jobs.

Fix: an entry that doesn't have the job sends its id to all agents that it has a session with, once for each cancel. An agent relays it to its other dispatchers, and for 3 s to those whose session begins later. The dispatcher that has the job ends it like a local cancel and answers by the same agent. The asking entry answers 200 at the first answer and 410 after 600 ms without one; a cancel that arrives later than that still ends the job. Each dispatcher that hears of a cancel remembers the id for 10 s and answers its request as cancelled. A second cancel of a job that was cancelled is answered with 200 instead of 410.

Cost: cancels of jobs whose result is remembered ask nobody. The agents get at most one message each 100 ms for cancels, a dispatcher one report each 50 ms from an agent. At most 64 searches are under way; beyond that, and without agents, the answer is 503: the job may exist, so 410 would be untrue, and the caller learns that the cancel is not done. Any two entries share an agent in the fleets of TestAnyTwoEntriesOfALargeFleetShareAnAgent, up to 480 agents in six availability zones or 600 in one.

The new fields are optional; processes of the version before ignore them, and the answer is 410 after 600 ms while the others are old.

--- a/internal/disp/agent_controller.go
+++ b/internal/disp/agent_controller.go
@@ -193,6 +193,7 @@
 	if v.settled {
 		m.retireOldIncarnations(v)
 	}
+	m.handleCancels(v, r)
 	m.placementDue = m.placementDue || mayFit
 }
 
--- a/internal/disp/common.go
+++ b/internal/disp/common.go
@@ -81,7 +81,8 @@
 	Ticket uint64
 }
 
-// Cancel asks to cancel a job; the Reply says whether the job was found.
+// Cancel asks to cancel a job, here or at another dispatcher; the Reply says whether the job was found, or is Unknown if the
+// search was not possible.
 type Cancel struct {
 	Ticket uint64
 	ID     string
@@ -227,9 +228,13 @@
 	retryTimes wait.RetrySchedule
 	// guards keep room free for jobs of the first priority, by service.
 	guards map[string]*wait.Reservation
-	// recent remembers the results of ended jobs.
-	recent        map[string]outcome
-	recentOrder   []outcome
+	// recent remembers the results of ended jobs, and NotFound for cancelled jobs that were not known here.
+	recent      map[string]outcome
+	recentOrder []outcome
+	// searches are the cancels of jobs that this dispatcher doesn't have, oldest first.
+	searches []*search
+	// nextAskAt is when the agents may be asked again.
+	nextAskAt     clock.Millis
 	stopping      bool
 	drainDeadline clock.Millis
 	exited        bool
--- a/internal/disp/job_controller.go
+++ b/internal/disp/job_controller.go
@@ -22,7 +22,12 @@
 )
 
 func (m *Machine) submit(ev Submit) {
-	if old, ok := m.recent[ev.Job.ID]; ok {
+	switch old, ok := m.recent[ev.Job.ID]; {
+	case ok && old.result == NotFound:
+		m.note(event.Note{Name: "job_cancelled_before", Job: ev.Job.ID, Class: ev.Job.Queue})
+		m.emit(Reply{Ticket: ev.Ticket, Result: Cancelled})
+		return
+	case ok:
 		m.emit(Reply{Ticket: ev.Ticket, Result: old.result})
 		return
 	}
@@ -206,16 +211,6 @@
 	m.removeJob(j)
 }
 
-func (m *Machine) cancel(ev Cancel) {
-	j := m.jobs[ev.ID]
-	if j == nil {
-		m.emit(Reply{Ticket: ev.Ticket, Result: NotFound})
-		return
-	}
-	m.emit(Reply{Ticket: ev.Ticket, Result: Cancelled})
-	m.finish(j, Cancelled, "cancelled")
-}
-
 func (m *Machine) refuse(j *job, reason string) {
 	m.finish(j, Refused, reason)
 }
--- a/internal/disp/machine.go
+++ b/internal/disp/machine.go
@@ -44,6 +44,7 @@
 		m.placementDue = false
 		m.placeAll()
 	}
+	m.askAgents()
 	return m.out
 }
 
@@ -54,8 +55,9 @@
 	}
 	m.checkChosen()
 	m.checkJobs()
+	m.checkSearches()
 	m.expireResults()
-	if m.stopping && !m.exited && (len(m.jobs) == 0 || m.now >= m.drainDeadline) {
+	if m.stopping && !m.exited && (len(m.jobs)+len(m.searches) == 0 || m.now >= m.drainDeadline) {
 		m.exited = true
 		m.emit(event.Exit{})
 	}
@@ -87,6 +89,9 @@
 	for _, id := range m.jobIDs() {
 		m.giveUp(m.jobs[id], "thawed")
 	}
+	for len(m.searches) > 0 {
+		m.endSearch(m.searches[0], Unknown)
+	}
 	return m.out
 }
 
@@ -119,7 +124,7 @@
 
 // State returns the state of a job, and whether the job is known.
 func (m *Machine) State(id string) (state string, known bool) {
-	if r, ok := m.recent[id]; ok {
+	if r, ok := m.recent[id]; ok && r.result != NotFound {
 		return string(r.result), true
 	}
 	j := m.jobs[id]
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -112,7 +112,7 @@
 	case disp.Submit:
 		d.reply(disp.Reply{Ticket: ev.Ticket, Result: disp.Refused})
 	case disp.Cancel:
-		d.reply(disp.Reply{Ticket: ev.Ticket, Result: disp.NotFound})
+		d.reply(disp.Reply{Ticket: ev.Ticket, Result: disp.Unknown})
 	}
 }
 
--- a/internal/proto/order.go
+++ b/internal/proto/order.go
@@ -5,6 +5,7 @@
 
 	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/room"
+	"corianderspur.example/corianderspur/internal/shard"
 )
 
 // Orders is a message from a dispatcher to an agent; if it has no contents it is a heartbeat.
@@ -21,6 +22,16 @@
 	Want bool `cbor:"want,omitempty"`
 	// Rank is the priority of the waiting work; free resources are offered to the lowest rank first.
 	Rank int `cbor:"rank,omitempty"`
+	// Cancels lists jobs to cancel that the dispatcher doesn't have; the agent relays them to its other dispatchers.
+	Cancels []string `cbor:"cancels,omitempty"`
+	// Cancelled answers relayed cancels of jobs that the dispatcher had.
+	Cancelled []RelayedCancel `cbor:"cancelled,omitempty"`
+}
+
+// RelayedCancel is the cancel of a job that an agent relays for a dispatcher, the asker.
+type RelayedCancel struct {
+	Job   string   `cbor:"job"`
+	Asker shard.ID `cbor:"asker"`
 }
 
 // Begin starts tasks of one job at the agent.
@@ -98,6 +109,10 @@
 	Facts *Facts `cbor:"facts,omitempty"`
 	// Inventory lists the dispatcher's runs in the first report of a session.
 	Inventory *Inventory `cbor:"inventory,omitempty"`
+	// Cancels are relayed from other dispatchers.
+	Cancels []RelayedCancel `cbor:"cancels,omitempty"`
+	// Cancelled lists the jobs of the dispatcher's own Cancels that another dispatcher had and has cancelled.
+	Cancelled []string `cbor:"cancelled,omitempty"`
 }
 
 // Facts describes the backend server beside an agent.
@@ -120,10 +135,16 @@
 	maxAmount = int64(1) << 40
 )
 
+// MaxCancels bounds each list of cancels in a message, and maxIDLen the ids in them, in bytes.
+const (
+	MaxCancels = 1024
+	maxIDLen   = 256
+)
+
 // maxPace bounds the pace of a backend server in a report.
 const maxPace = 1e6
 
-// Check returns an error if the orders contain a time or an amount that no dispatcher sends.
+// Check returns an error if the orders contain a time, an amount or a cancel that no dispatcher sends.
 func (o *Orders) Check() error {
 	if o.Stamp < 0 || o.Stamp > maxStamp {
 		return errors.Errorf("stamp %d", o.Stamp)
@@ -135,10 +156,10 @@
 			}
 		}
 	}
-	return nil
+	return checkCancels(o.Cancelled, o.Cancels)
 }
 
-// Check returns an error if the report contains a time or an amount that no agent sends.
+// Check returns an error if the report contains a time, an amount or a cancel that no agent sends.
 func (r *Report) Check() error {
 	if f := r.Free; max(f.CPU, f.MemMB, f.GPU) > maxAmount || min(f.CPU, f.MemMB, f.GPU) < -maxAmount {
 		return errors.Errorf("free room %v", f)
@@ -154,9 +175,30 @@
 			return errors.Errorf("task %q took %d", e.Task, e.TookMS)
 		}
 	}
+	return checkCancels(r.Cancels, r.Cancelled)
+}
+
+func checkCancels(cancels []RelayedCancel, jobs []string) error {
+	if max(len(cancels), len(jobs)) > MaxCancels {
+		return errors.Errorf("%d and %d cancels, at most %d allowed", len(cancels), len(jobs), MaxCancels)
+	}
+	for _, c := range cancels {
+		if !isID(c.Job) || !isID(string(c.Asker)) {
+			return errors.Errorf("cancel of %.40q for %.40q", c.Job, c.Asker)
+		}
+	}
+	for _, id := range jobs {
+		if !isID(id) {
+			return errors.Errorf("cancel of %.40q", id)
+		}
+	}
 	return nil
 }
 
+func isID(id string) bool {
+	return id != "" && len(id) <= maxIDLen
+}
+
 func isAmount(r room.Resources) bool {
 	return min(r.CPU, r.MemMB, r.GPU) >= 0 && max(r.CPU, r.MemMB, r.GPU) <= maxAmount
 }
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -236,6 +236,10 @@
 	lastOfferNumber uint64
 	offerRound      uint64
 	reportedAt      clock.Millis
+	// lastCancel is the number of the last relayed cancel that the dispatcher has been sent.
+	lastCancel uint64
+	// cancelled lists the dispatcher's cancels that another one has confirmed since the last report.
+	cancelled []string
 }
 
 // Machine is the state machine of an agent for leased runs.
@@ -287,6 +291,9 @@
 	lastOffer   uint64
 	nextOfferAt clock.Millis
 	offering    bool
+	// cancels are relayed between dispatchers, oldest first; lastCancel is the number of the last one.
+	cancels    []cancel
+	lastCancel uint64
 }
 
 // New creates the state machine of an agent without a backend server or sessions.
--- a/internal/runs/peer_controller.go
+++ b/internal/runs/peer_controller.go
@@ -35,6 +35,7 @@
 	p.lastHeard = m.now
 	p.offset = unknownOffset
 	p.lastBegin = 0
+	p.lastCancel = 0
 	p.full = true
 	p.dirty = true
 	m.note(event.Note{Name: "session_up", Peer: ev.Peer})
@@ -140,6 +141,7 @@
 	p.dirty = p.dirty || m.now-p.reportedAt >= echoInterval
 	m.dropAckedEnds(p, o.AckedEnd)
 	m.updateWant(p, o)
+	m.handleCancels(p, o)
 	for _, ref := range o.Halts {
 		m.handleHalt(p, ref)
 	}
@@ -199,7 +201,7 @@
 func (m *Machine) sendReports() {
 	for _, id := range m.sortedPeerIDs() {
 		p := m.peers[id]
-		if !p.up || !p.dirty {
+		if !p.up || (!p.dirty && !m.cancelsDue(p)) {
 			continue
 		}
 		p.dirty = false
@@ -215,6 +217,8 @@
 			r.Ends = slices.Clone(p.unackedEnds)
 			m.note(event.Note{Name: "inventory_sent", Peer: id, Count: len(r.Inventory.Runs), Seq: p.lastBegin})
 		}
+		r.Cancels, p.lastCancel = m.unsentCancels(p), m.lastCancel
+		r.Cancelled, p.cancelled = p.cancelled, nil
 		p.markSent()
 		m.emit(event.Send{To: id, Message: proto.Message{Report: &r}})
 	}
--- a/internal/subset/subset_test.go
+++ b/internal/subset/subset_test.go
@@ -80,3 +80,34 @@
 	qt.Assert(t, chosen, qt.HasLen, 27+16+1)
 	qt.Assert(t, chosen[len(chosen)-1].ID, qt.Equals, last)
 }
+
+// Cancels are relayed by agents: any two entries of a large deployment have sessions with an agent in common.
+func TestAnyTwoEntriesOfALargeFleetShareAnAgent(t *testing.T) {
+	for _, fleet := range []struct{ zones, agents, entries int }{{2, 60, 10}, {3, 54, 12}, {6, 27, 6}, {6, 80, 6}, {1, 600, 20}} {
+		agents := agentsOf(fleet.zones, fleet.agents)
+		var chosen []map[shard.ID]bool
+		for z := range fleet.zones {
+			for i := range fleet.entries {
+				ids := map[shard.ID]bool{}
+				for _, a := range choose(fmt.Sprintf("entry-%d-%d", z, i), fmt.Sprintf("z%d", z), agents) {
+					ids[a.ID] = true
+				}
+				chosen = append(chosen, ids)
+			}
+		}
+		for i, a := range chosen {
+			for k, b := range chosen[:i] {
+				qt.Assert(t, shared(a, b) > 0, qt.IsTrue, qt.Commentf("%+v: entries %d and %d", fleet, i, k))
+			}
+		}
+	}
+}
+
+func shared(a, b map[shard.ID]bool) (n int) {
+	for id := range a {
+		if b[id] {
+			n++
+		}
+	}
+	return n
+}
