Let a backend server that has left come back under its id

Cause: the agent remembered ids that had left, to keep late heartbeats from being taken for the next backend server, although an id may have several incarnations. It now remembers the id together with the time of the start. A late heartbeat of the incarnation that has left is still ignored; one of another incarnation is heard, and takes tasks only after a poll that it has answered.

Evidence, seen failing before the fix: TestBackendServerThatHasLeftMayComeBackUnderItsID (lease_controller_test.go:215, no poll sent; :216, accepting is false).

--- a/internal/emul/faults.go
+++ b/internal/emul/faults.go
@@ -190,7 +190,10 @@
 	w.logf("the backend server of %s leaves", a.name)
 	r.leaving = true
 	a.push(runs.InstanceLeft{ID: r.id})
-	born, id, refuses := r.born, r.id+"x", w.rng.IntN(2) == 0
+	born, id, refuses := r.born, r.id, w.rng.IntN(2) == 0
+	if w.rng.IntN(2) == 0 {
+		id += "x"
+	}
 	w.after(clock.Millis(1+w.rng.IntN(leaveLinger)), func() {
 		if !r.up || r.born != born {
 			return
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -45,6 +45,16 @@
 	Seq      uint64
 }
 
+// life identifies an incarnation of the backend server, which may start again under the id that it had.
+type life struct {
+	id   string
+	born int64
+}
+
+func (in *Instance) life() life {
+	return life{id: in.ID, born: in.Born}
+}
+
 // Announced is a heartbeat of the backend server.
 type Announced struct {
 	Instance Instance
@@ -251,8 +261,9 @@
 	// unannounced says that this incarnation is known only from answers to orders, so its capacity is unknown.
 	unannounced bool
 	// leaving says that the backend server has announced its end, while its runs may go on.
-	leaving  bool
-	departed map[string]bool
+	leaving bool
+	// departed holds the incarnations that have announced their end; their late heartbeats are ignored.
+	departed map[life]bool
 	peers    map[shard.ID]*peer
 	runs     map[string]*run
 	used     room.Resources
@@ -302,7 +313,7 @@
 		cfg.IdleSilence = cfg.Silence
 	}
 	return &Machine{
-		cfg: cfg, departed: map[string]bool{}, peers: map[shard.ID]*peer{}, runs: map[string]*run{}, orphans: map[string]clock.Millis{},
+		cfg: cfg, departed: map[life]bool{}, peers: map[shard.ID]*peer{}, runs: map[string]*run{}, orphans: map[string]clock.Millis{},
 	}
 }
 
--- a/internal/runs/lease_controller.go
+++ b/internal/runs/lease_controller.go
@@ -10,7 +10,7 @@
 func (m *Machine) handleAnnounced(in Instance) {
 	cur := m.instance
 	switch {
-	case m.departed[in.ID] || in.Total.CPU <= 0:
+	case m.departed[in.life()] || in.Total.CPU <= 0:
 		return
 	case cur == nil:
 		m.adoptInstance(in)
@@ -105,7 +105,7 @@
 	if m.instance == nil || m.instance.ID != id {
 		return
 	}
-	m.departed[id] = true
+	m.departed[m.instance.life()] = true
 	m.note(event.Note{Name: "backend_server_left", Instance: id, Count: len(m.runs)})
 	m.leaving = true
 	m.rejectAllQueued()
--- a/internal/runs/lease_controller_test.go
+++ b/internal/runs/lease_controller_test.go
@@ -193,3 +193,31 @@
 		qt.Check(t, a.m.poll.Lease, qt.Equals, clock.Millis(0))
 	}
 }
+
+// A backend server that has left and starts again under its id was ignored until the agent's next start.
+func TestBackendServerThatHasLeftMayComeBackUnderItsID(t *testing.T) {
+	for name, runs := range map[string]int{"idle": 0, "with a run": 1} {
+		t.Run(name, func(t *testing.T) {
+			a := newAgentTest(t)
+			for range runs {
+				a.begin("e1/1", "j1", 1000)
+				a.confirmUnnamed("j1")
+				a.answerPollAs(1, Running{Task: "j1.0.0.0", Run: 1})
+			}
+			a.handle(InstanceLeft{ID: "r1"})
+			late := instance(1)
+			late.Seq = 9
+			a.handle(Announced{Instance: late})
+			qt.Check(t, a.m.runs, qt.HasLen, runs)
+			qt.Check(t, a.m.accepting(), qt.IsFalse)
+
+			a.handle(Announced{Instance: instance(2)})
+			a.answerPollAs(2)
+			qt.Check(t, a.m.accepting(), qt.IsTrue)
+			qt.Check(t, a.m.used.CPU, qt.Equals, int64(0))
+			late.Seq = 10
+			a.handle(Announced{Instance: late})
+			qt.Check(t, a.m.instance.Born, qt.Equals, int64(2))
+		})
+	}
+}
