Hear a backend server whose time of start has gone back

When the time of day was set back between two incarnations of a backend server under one id, the agent ignored the heartbeats and the lists of runs of the second one for good, while it went on starting tasks there: their ends were never taken note of and their room stayed taken.

Cause: a time of start that is earlier than the known one counted as a late message of an incarnation before. An answer to a poll that was sent when the known one was known comes from the process that is there. Two such answers in a row now show that the known incarnation is over; its runs end and the list decides on the others, as after any restart.

Evidence, seen failing before the fix: TestIncarnationWhoseBornHasGoneBackIsHeard (lease_controller_test.go:241, no ends, want "stopped"; :243, 2000 in use, want 1000), TestSingleAnswerOfAnEarlierIncarnationChangesNothing (:269) and TestIdleAgentAsksAfterAHeartbeatOfAnEarlierBorn.

--- a/internal/emul/runner.go
+++ b/internal/emul/runner.go
@@ -183,10 +183,19 @@
 	r.runs = map[string]*activeRun{}
 }
 
+// clockStepShare is the fraction of restarts behind which the time of day has been set back, by up to clockStep milliseconds.
+const (
+	clockStepShare = 0.1
+	clockStep      = 2000
+)
+
 // restart starts a new incarnation, under the same id or another.
 func (r *backend) restart(id string) {
 	fresh := newBackend(r.world, r.agent, id, r.total)
 	fresh.born = max(fresh.born, r.born+1)
+	if back := int64(1 + r.world.rng.IntN(clockStep)); back < r.born && r.world.rng.Float64() < clockStepShare {
+		fresh.born = r.born - back
+	}
 	*r = *fresh
 }
 
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -264,9 +264,14 @@
 	leaving bool
 	// departed holds the incarnations that have announced their end; their late heartbeats are ignored.
 	departed map[life]bool
-	peers    map[shard.ID]*peer
-	runs     map[string]*run
-	used     room.Resources
+	// denied is the latest incarnation that was followed by one with an earlier time of start under the same id.
+	denied life
+	// olderBorn is the time of start in the last answered polls if it is earlier than the known one, and olderAnswers their number.
+	olderBorn    int64
+	olderAnswers int
+	peers        map[shard.ID]*peer
+	runs         map[string]*run
+	used         room.Resources
 	// queuedNeed is the capacity that queued runs need, and queue their tasks by rank, then in the order of arrival.
 	queuedNeed room.Resources
 	queue      []string
--- a/internal/runs/lease_controller.go
+++ b/internal/runs/lease_controller.go
@@ -14,7 +14,8 @@
 		return
 	case cur == nil:
 		m.adoptInstance(in)
-	case in.Born < cur.Born:
+	case in.Born < cur.Born, in.Born > cur.Born && m.isDenied(in):
+		m.verifyIncarnation()
 	case in.ID != cur.ID:
 		m.endAllRuns("backend_server_replaced")
 		m.adoptInstance(in)
@@ -26,12 +27,16 @@
 	}
 }
 
-// checkIncarnation processes the incarnation named in an answer and reports whether it is a new one under the same id.
-func (m *Machine) checkIncarnation(born int64) bool {
-	in := m.instance
-	if in == nil || born <= in.Born {
-		return false
+// checkIncarnation processes the incarnation named in an answer or a heartbeat.
+func (m *Machine) checkIncarnation(born int64) {
+	if m.instance != nil && born > m.instance.Born {
+		m.changeIncarnation(born)
 	}
+}
+
+// changeIncarnation records that another incarnation has taken the place of the known one under the same id.
+func (m *Machine) changeIncarnation(born int64) {
+	in := m.instance
 	m.note(event.Note{Name: "backend_server_reborn", Instance: in.ID, Count: len(m.runs)})
 	m.rejectAllQueued()
 	fresh := *in
@@ -49,9 +54,44 @@
 		m.enterIncarnation(m.runs[task])
 	}
 	m.markAllFull()
+}
+
+// olderAnswers is the number of answered polls in a row that show that the time of day was set back between two incarnations: each
+// poll was sent when the later time of start was known, so that the known incarnation is over.
+const olderAnswers = 2
+
+// isOlderConfirmed reports whether an answer that names an earlier time of start than the known one is to be believed. Nothing is
+// accepted until a poll has decided.
+func (m *Machine) isOlderConfirmed(born int64) bool {
+	if born == 0 {
+		return false
+	}
+	if born != m.olderBorn {
+		m.olderBorn, m.olderAnswers = born, 0
+	}
+	m.olderAnswers++
+	if m.olderAnswers < olderAnswers {
+		m.verifyIncarnation()
+		return false
+	}
+	if in := m.instance.life(); in.id != m.denied.id || in.born > m.denied.born {
+		m.denied = in
+	}
 	return true
 }
 
+// isDenied reports whether a heartbeat may be a late one of an incarnation that was followed by one with an earlier time of start.
+func (m *Machine) isDenied(in Instance) bool {
+	return in.ID == m.denied.id && in.Born <= m.denied.born
+}
+
+// verifyIncarnation makes a new poll decide which incarnation of the backend server is there; nothing is accepted until then.
+func (m *Machine) verifyIncarnation() {
+	m.poll = nil
+	m.settled = false
+	m.markAllDirty()
+}
+
 // enterIncarnation ends a run that is known to belong to an earlier incarnation of the backend server. An answer to a start need
 // not name the incarnation, so that any other run may belong to the current one, whose list of runs decides.
 func (m *Machine) enterIncarnation(r *run) {
@@ -281,10 +321,13 @@
 		}
 		m.expireLease()
 		return
-	case m.instance == nil || ev.Born < m.instance.Born:
+	case m.instance == nil || (ev.Born < m.instance.Born && !m.isOlderConfirmed(ev.Born)):
 		return
 	}
-	if !m.checkIncarnation(ev.Born) {
+	m.olderBorn, m.olderAnswers = 0, 0
+	if ev.Born != m.instance.Born {
+		m.changeIncarnation(ev.Born)
+	} else {
 		m.lastEndAcked = max(m.lastEndAcked, poll.AckedEnd)
 	}
 	m.health.resetUnanswered()
--- a/internal/runs/lease_controller_test.go
+++ b/internal/runs/lease_controller_test.go
@@ -221,3 +221,70 @@
 		})
 	}
 }
+
+// The time of day was set back between two incarnations of a backend server: the lists of the second one were ignored for good, and
+// the capacity of its runs stayed taken.
+func TestIncarnationWhoseBornHasGoneBackIsHeard(t *testing.T) {
+	a := newAgentTest(t)
+	a.handle(Announced{Instance: instance(5)})
+	a.answerPollAs(5)
+	a.begin("e1/1", "old", 1000)
+	a.confirmUnnamed("old")
+	a.answerPollAs(5, Running{Task: "old.0.0.0", Run: 1})
+	a.begin("e2/1", "new", 1000)
+	a.confirmUnnamed("new")
+
+	a.answerPollAs(3, Running{Task: "new.0.0.0", Run: 1})
+	qt.Check(t, a.m.runs, qt.HasLen, 2)
+	qt.Check(t, a.m.accepting(), qt.IsFalse)
+	a.answerPollAs(3, Running{Task: "new.0.0.0", Run: 1})
+	qt.Check(t, a.reportedEnds("e1/1"), qt.DeepEquals, []proto.EndReason{proto.EndStopped})
+	qt.Check(t, a.reportedEnds("e2/1"), qt.HasLen, 0)
+	qt.Check(t, a.m.used.CPU, qt.Equals, int64(1000))
+	a.handle(Announced{Instance: instance(3)})
+	qt.Check(t, a.m.accepting(), qt.IsTrue)
+
+	// A late heartbeat of the incarnation before ends nothing; the next poll decides.
+	a.handle(Announced{Instance: instance(5)})
+	qt.Check(t, a.m.runs, qt.HasLen, 1)
+	a.answerPollAs(3, Running{Task: "new.0.0.0", Run: 1})
+	qt.Check(t, a.m.runs, qt.HasLen, 1)
+	qt.Check(t, a.m.accepting(), qt.IsTrue)
+}
+
+// A single answer of an earlier incarnation, and late heartbeats of it, change nothing once the current one answers.
+func TestSingleAnswerOfAnEarlierIncarnationChangesNothing(t *testing.T) {
+	a := newAgentTest(t)
+	a.handle(Announced{Instance: instance(5)})
+	a.answerPollAs(5)
+	a.begin("e1/1", "j1", 1000)
+	a.confirmUnnamed("j1")
+	j1 := Running{Task: "j1.0.0.0", Run: 1}
+	a.answerPollAs(5, j1)
+	for range 3 {
+		a.answerPollAs(3)
+		a.answerPollAs(5, j1)
+		qt.Check(t, a.m.accepting(), qt.IsTrue)
+		a.handle(Announced{Instance: instance(3)})
+		qt.Check(t, a.m.accepting(), qt.IsFalse)
+		a.answerPollAs(5, j1)
+		qt.Check(t, a.m.accepting(), qt.IsTrue)
+	}
+	qt.Check(t, a.m.runs, qt.HasLen, 1)
+	qt.Check(t, a.m.instance.Born, qt.Equals, int64(5))
+}
+
+// The heartbeats of an idle backend server whose time of start has gone back were ignored, with the capacity that they told.
+func TestIdleAgentAsksAfterAHeartbeatOfAnEarlierBorn(t *testing.T) {
+	a := newAgentTest(t)
+	a.handle(Announced{Instance: instance(5)})
+	a.answerPollAs(5)
+	a.handle(Announced{Instance: instance(3)})
+	a.answerPollAs(3)
+	a.answerPollAs(3)
+	in := instance(3)
+	in.Total.CPU = 1000
+	a.handle(Announced{Instance: in})
+	qt.Check(t, a.m.accepting(), qt.IsTrue)
+	qt.Check(t, a.m.instance.Total.CPU, qt.Equals, int64(1000))
+}
