--- a/internal/emul/runner.go
+++ b/internal/emul/runner.go
@@ -183,7 +183,8 @@
 	r.runs = map[string]*activeRun{}
 }
 
-// clockStepShare is the fraction of restarts behind which the time of day has been set back, by up to clockStep milliseconds.
+// clockStepShare is the fraction of restarts behind which the time of day has been set back, by up to clockStep milliseconds, in
+// sessions that replace backend servers.
 const (
 	clockStepShare = 0.1
 	clockStep      = 2000
@@ -193,8 +194,10 @@
 func (r *backend) restart(id string) {
 	fresh := newBackend(r.world, r.agent, id, r.total)
 	fresh.born = max(fresh.born, r.born+1)
-	if back := int64(1 + r.world.rng.IntN(clockStep)); back < r.born && r.world.rng.Float64() < clockStepShare {
-		fresh.born = r.born - back
+	if r.world.cfg.ReplaceEvery > 0 && r.world.rng.Float64() < clockStepShare {
+		if back := int64(1 + r.world.rng.IntN(clockStep)); back < r.born {
+			fresh.born = r.born - back
+		}
 	}
 	*r = *fresh
 }
