--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -81,9 +81,13 @@
 	return nil
 }
 
-// Announce handles a heartbeat of the backend server and returns once it is in force.
-func (k *Keeper) Announce(in runs.Instance) {
-	k.loop.Do(func(now clock.Millis) { k.do(k.machine.Handle(now, runs.Announced{Instance: in})) })
+// Announce handles a heartbeat of the backend server and returns once it is in force; it reports whether it is now the newest one.
+func (k *Keeper) Announce(in runs.Instance) (taken bool) {
+	k.loop.Do(func(now clock.Millis) {
+		k.do(k.machine.Handle(now, runs.Announced{Instance: in}))
+		taken = k.machine.Knows(in)
+	})
+	return taken
 }
 
 // Gone handles the planned end of the backend server.
--- a/internal/proto/order.go
+++ b/internal/proto/order.go
@@ -151,7 +151,7 @@
 	}
 	for _, b := range o.Begins {
 		for _, t := range b.Tasks {
-			if t.Task == "" || t.Run < 1 || !isAmount(t.Need) {
+			if t.Task == "" || t.Run < 1 || !IsAmount(t.Need) {
 				return errors.Errorf("task %q, run %d, need %v", t.Task, t.Run, t.Need)
 			}
 		}
@@ -167,7 +167,7 @@
 	if !(r.Pace >= 0 && r.Pace <= maxPace) {
 		return errors.Errorf("pace %f", r.Pace)
 	}
-	if r.Facts != nil && !isAmount(r.Facts.Total) {
+	if r.Facts != nil && !IsAmount(r.Facts.Total) {
 		return errors.Errorf("total room %v", r.Facts.Total)
 	}
 	for _, e := range r.Ends {
@@ -199,6 +199,7 @@
 	return id != "" && len(id) <= maxIDLen
 }
 
-func isAmount(r room.Resources) bool {
+// IsAmount reports whether an amount is one that backend servers have and tasks need: larger ones could overflow in sums.
+func IsAmount(r room.Resources) bool {
 	return min(r.CPU, r.MemMB, r.GPU) >= 0 && max(r.CPU, r.MemMB, r.GPU) <= maxAmount
 }
--- a/internal/runs/lease_controller.go
+++ b/internal/runs/lease_controller.go
@@ -27,6 +27,12 @@
 	}
 }
 
+// Knows reports whether a heartbeat is the newest one of the incarnation in use.
+func (m *Machine) Knows(in Instance) bool {
+	cur := m.instance
+	return cur != nil && cur.ID == in.ID && cur.Born == in.Born && cur.Seq == in.Seq
+}
+
 // checkIncarnation processes the incarnation named in an answer or a heartbeat.
 func (m *Machine) checkIncarnation(born int64) {
 	if m.instance != nil && born > m.instance.Born {
