--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Plays faults against real processes on the operators' platform's protocol: soak.sh SECONDS [SEED]
-# The stand-in breaks links, runners and the store; this script kills, freezes, stops and restarts entries and agents, and
+# The stand-in breaks links, runners and the store, and writes odd entries beside them; this script kills, freezes, stops and restarts entries and agents, and
 # once all of them at the same time. Exit status 0 only if every promise was kept. BASE sets the first port.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -101,13 +101,29 @@
   esac
 }
 
+# check_alive fails the run if a process has ended by itself
+LIVE=0
+check_alive() {
+  local name
+  for name in "${!PIDS[@]}"; do
+    [ "$name" = soak ] && continue
+    if ! kill -0 "${PIDS[$name]}" 2>/dev/null; then
+      echo "BROKEN $name has ended by itself"
+      LIVE=1
+    fi
+  done
+}
+
 start soak "$BIN/standin" soak --base "$BASE" --entries "$ENTRIES" --agents "$AGENTS" --length "${LENGTH}s" --calm "${CALM}s" --seed "$SEED"
-for i in $(seq 0 $((AGENTS - 1))); do start_agent "$i"; done
+for i in $(seq 0 $((AGENTS - 2))); do start_agent "$i"; done
 for i in $(seq 0 $((ENTRIES - 1))); do start_entry "$i"; done
 END=$((SECONDS + LENGTH - CALM - 4))
 ALL=$((SECONDS + LENGTH / 2))
 sleep 3
+# The last agent announces itself after the first odd entries.
+start_agent $((AGENTS - 1))
 while [ $SECONDS -lt $END ]; do
+  check_alive
   if [ $SECONDS -ge $ALL ]; then
     ALL=$((END + 1))
     kill_all
@@ -118,5 +134,6 @@
 done
 HELD=0
 wait "${PIDS[soak]}" || HELD=$?
+check_alive
 cat "$RUN/soak.log"
-exit $HELD
+exit $((HELD | LIVE))
