Dial a process at the address that it announced last

What callers saw: an agent whose row changed its address under the same name (it moved, or another writer's entry had named a wrong one before) got no session from entries that knew the old address: these dialled the old one until they were restarted.

Cause: the loop that keeps a session with a name open kept the address of its start.

Evidence: TestChangedAddressIsDialled was seen failing: "no session at the new address" after 10 s.

Fix: the loop asks for the address before each dial. A session that is open stays.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -80,7 +80,7 @@
 	mu       sync.Mutex
 	id       shard.ID
 	sessions map[shard.ID]*session
-	dialers  map[shard.ID]context.CancelFunc
+	dialers  map[shard.ID]*dialer
 	// opened counts sessions, and taken holds the session that the state machine knows of, by process.
 	opened uint64
 	taken  map[shard.ID]uint64
@@ -92,7 +92,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	return &Mesh{
 		cfg: cfg, ctx: ctx, stop: stop, id: cfg.ID,
-		sessions: map[shard.ID]*session{}, dialers: map[shard.ID]context.CancelFunc{}, taken: map[shard.ID]uint64{},
+		sessions: map[shard.ID]*session{}, dialers: map[shard.ID]*dialer{}, taken: map[shard.ID]uint64{},
 	}
 }
 
@@ -118,9 +118,9 @@
 			m.dialLocked(member)
 		}
 	}
-	for id, cancel := range m.dialers {
+	for id, d := range m.dialers {
 		if !wanted[id] {
-			cancel()
+			d.cancel()
 			delete(m.dialers, id)
 		}
 	}
@@ -138,23 +138,33 @@
 	return !named || m.id > id
 }
 
+// dialer keeps a session with a member open.
+type dialer struct {
+	cancel context.CancelFunc
+	// addr is where the next session is opened; the mesh's lock guards it.
+	addr string
+}
+
 func (m *Mesh) dialLocked(member shard.Member) {
-	if m.dialers[member.ID] != nil {
+	if d := m.dialers[member.ID]; d != nil {
+		d.addr = member.Addr
 		return
 	}
 	ctx, cancel := context.WithCancel(m.ctx)
-	m.dialers[member.ID] = cancel
+	d := &dialer{cancel: cancel, addr: member.Addr}
+	m.dialers[member.ID] = d
 	m.wg.Add(1)
-	go m.dialLoop(ctx, member)
+	go m.dialLoop(ctx, member.ID, d)
 }
 
-func (m *Mesh) dialLoop(ctx context.Context, member shard.Member) {
+func (m *Mesh) dialLoop(ctx context.Context, id shard.ID, d *dialer) {
 	defer m.wg.Done()
 	pause := m.cfg.RedialFirst
 	for ctx.Err() == nil {
-		if m.connected(member.ID) {
+		connected, addr := m.connected(id, d)
+		if connected {
 			pause = m.cfg.RedialFirst
-		} else if err := m.dial(ctx, member); err == nil {
+		} else if err := m.dial(ctx, addr); err == nil {
 			pause = m.cfg.RedialFirst
 		}
 		select {
@@ -166,18 +176,19 @@
 	}
 }
 
-func (m *Mesh) connected(id shard.ID) bool {
+// connected reports whether there is a session with a process, and where to open one.
+func (m *Mesh) connected(id shard.ID, d *dialer) (connected bool, addr string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.sessions[id] != nil
+	return m.sessions[id] != nil, d.addr
 }
 
 // dial opens a session and serves it to its end.
-func (m *Mesh) dial(ctx context.Context, member shard.Member) error {
+func (m *Mesh) dial(ctx context.Context, addr string) error {
 	dialCtx, cancel := context.WithTimeout(ctx, m.cfg.DialTimeout.Duration())
 	defer cancel()
 	//nolint:bodyclose // the library closes the body of the response itself
-	conn, _, err := websocket.Dial(dialCtx, "ws://"+member.Addr+Path, &websocket.DialOptions{
+	conn, _, err := websocket.Dial(dialCtx, "ws://"+addr+Path, &websocket.DialOptions{
 		CompressionMode: websocket.CompressionDisabled,
 	})
 	if err != nil {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
@@ -93,3 +94,23 @@
 	agent.Close()
 	entry.Close()
 }
+
+// A process whose address has changed, or whose first address was wrong, was dialled at the old one for ever.
+func TestChangedAddressIsDialled(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	entry, atEntry := newMesh("entry-0/1", proto.RoleEntry)
+	server := httptest.NewServer(entry)
+	defer server.Close()
+	agent, atAgent := newMesh("agent-0/1", proto.RoleAgent)
+	defer entry.Close()
+	defer agent.Close()
+	agent.Connect([]shard.Member{{ID: "entry-0/1", Addr: "127.0.0.1:1"}})
+	agent.Connect([]shard.Member{{ID: "entry-0/1", Addr: server.Listener.Addr().String()}})
+	select {
+	case ev := <-atAgent.events:
+		qt.Assert(t, ev, qt.Equals, event.SessionUp{Peer: "entry-0/1", Role: proto.RoleEntry, Session: 1})
+		take(entry, atEntry)
+	case <-time.After(10 * time.Second):
+		t.Error("no session at the new address")
+	}
+}
