Don't act on a request whose caller has already closed its connection

Callers saw tasks run twice at the same time: a request that a cut had held up reached the entry after its caller had closed the connection and sent the job to another entry.

Cause: Submit handed the job to the state machine before anything looked at the connection. The end was in the socket, right behind the request, but only the HTTP server's background read notices it, on another goroutine while the handler already waits. Orders leave in the event that takes the job, so every such request started tasks.

Now Submit looks three times. It peeks at the socket without waiting (MSG_PEEK) and drops the job if the end is next to be read. If the request may be old, it waits a moment for the end first. And the control thread skips a job whose caller left while it waited in the queue; until now the orders went out and were taken back in the same batch. Each logs request_abandoned with the job's id.

Which requests may be old: a request was sent after its connection was accepted, or after the last answer there. A caller waits as long as it says (the job's time-out), so it can have left only if the connection has been silent for at least that long. For the first request on a connection the time is 1 s at most, since callers connect in order to send, and the wait is 20 ms, which covers a round trip between regions: a lost end is sent again after the request was acknowledged.

What remains: an end that is held up still longer than its request. The runs are then stopped as before, when it arrives. An entry can't tell such a request from a new one. Time that a connection spent in the listen queue before it was accepted doesn't count as silence.

In TestDrainAnswersARequestThatHasJustArrived only the call of serve changes, which takes a clock now.

--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -23,6 +24,8 @@
 	mesh    *mesh.Mesh
 	notes   *notes
 	cancel  context.CancelFunc
+	// after is time.After, except in tests.
+	after func(d time.Duration) <-chan time.Time
 
 	mu      sync.Mutex
 	next    uint64
@@ -37,9 +40,9 @@
 		AnswerMargin: cfg.AnswerMarginMS, DrainLimit: cfg.DrainLimitMS, RemoteFactor: cfg.FarFactor, Seed: seed,
 	})
 	d := &Dispatcher{
-		machine: machine, loop: NewLoop(clock.NewBoot(), machine), notes: &notes{log: log, meter: m},
-		waiting: map[uint64]chan disp.Reply{},
+		machine: machine, notes: &notes{log: log, meter: m}, after: time.After, waiting: map[uint64]chan disp.Reply{},
 	}
+	d.loop = NewLoop(clock.NewBoot(), present{d})
 	d.loop.gap = cfg.SilenceMS
 	d.loop.every = cfg.TickMS.Duration()
 	d.mesh = mesh.New(mesh.Config{
@@ -145,8 +148,60 @@
 	return d.next, ch
 }
 
-// Submit submits a job and waits for its reply; the job is dropped if the context ends first.
+func (d *Dispatcher) waits(ticket uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.waiting[ticket] != nil
+}
+
+// present hands events to the dispatcher's state machine, except jobs whose callers have left in the meantime.
+type present struct {
+	dispatcher *Dispatcher
+}
+
+// Handle handles an event.
+func (p present) Handle(now clock.Millis, ev event.Event) []event.Action {
+	if s, ok := ev.(disp.Submit); ok && !p.dispatcher.waits(s.Ticket) {
+		return []event.Action{abandoned(s.Job)}
+	}
+	return p.dispatcher.machine.Handle(now, ev)
+}
+
+func abandoned(j disp.Job) event.Note {
+	return event.Note{Name: "request_abandoned", Job: j.ID, Class: j.Queue}
+}
+
+// callerLeft reports whether the caller of a request has disconnected. It waits a moment for the end of the connection if the request
+// may have been held up on the way for as long as the caller waits, since that end is then right behind it.
+func (d *Dispatcher) callerLeft(ctx context.Context, patience clock.Millis) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	c := connOf(ctx)
+	if c == nil {
+		return false
+	}
+	if c.ended() {
+		return true
+	}
+	wait := c.endWait(patience)
+	if wait == 0 {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return true
+	case <-d.after(wait):
+		return c.ended()
+	}
+}
+
+// Submit submits a job and waits for its reply; the job is dropped if its caller disconnects first.
 func (d *Dispatcher) Submit(ctx context.Context, j disp.Job) disp.Reply {
+	if d.callerLeft(ctx, j.Timeout) {
+		d.notes.take(abandoned(j))
+		return disp.Reply{Result: disp.Unknown}
+	}
 	if d.loop.Resuming() {
 		return disp.Reply{Result: disp.Refused}
 	}
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"corianderspur.example/corianderspur/internal/clock"
 )
 
 const (
@@ -33,15 +35,15 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen at %s", addr)
 	}
-	return serve(socket, h), nil
+	return serve(socket, h, clock.NewBoot()), nil
 }
 
-func serve(socket net.Listener, h http.Handler) *Listener {
+func serve(socket net.Listener, h http.Handler, c clock.Clock) *Listener {
 	l := &Listener{socket: socket, conns: map[*conn]struct{}{}}
-	l.server = &http.Server{Handler: h, ReadHeaderTimeout: headerLimit, ConnState: l.track}
+	l.server = &http.Server{Handler: h, ReadHeaderTimeout: headerLimit, ConnState: l.track, ConnContext: withConn}
 	go func() {
 		// Serve returns only when the process shuts the server down.
-		_ = l.server.Serve(wrapping{socket})
+		_ = l.server.Serve(wrapping{socket, c})
 	}()
 	return l
 }
@@ -94,6 +96,7 @@
 // wrapping accepts connections that can be closed while they are idle.
 type wrapping struct {
 	net.Listener
+	clock clock.Clock
 }
 
 // Accept waits for the next connection.
@@ -102,5 +105,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c}, nil
+	return &conn{Conn: c, clock: w.clock, since: w.clock.Now()}, nil
 }
--- a/internal/node/listen_test.go
+++ b/internal/node/listen_test.go
@@ -106,7 +106,7 @@
 	late := newLateConn(theirs, request)
 	socket := &oneListener{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
 	idle := make(chan struct{}, 2)
-	l := serve(socket, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
+	l := serve(socket, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }), &fakeClock{})
 	l.onIdle = func() { idle <- struct{}{} }
 	socket.conns <- late
 	answers := bufio.NewReader(ours)
