Fence the starts of an agent's earlier incarnations

What it did: an agent ended while a start was under way to its backend server. Its successor listed the runs, found none that it didn't know, and reported that it was settled, and every dispatcher started the tasks lost with the earlier incarnation elsewhere at once (retireOldIncarnations). Then the backend server carried the start out: two runs of one task at once. A start that is late by less than the lease is not late by its end of the lease.

Every call carries a fencing token: the Unix time of the agent's start, in 1/1024 ms with random low bits. The backend server does nothing for a lower token than it has seen, so once it has answered a list of runs under the new one nothing of before can start. If the time of day was set back, the first polls are rejected, and the agent raises its token in steps that double until one is accepted; it is settled only after a list under that token. An agent that is fenced after it was accepted has a successor and doesn't outbid it: its polls renew nothing, and what it ran lapses.

The token rises by one in each life of the backend server, which has seen no token: an order to the life before is then fenced too, as soon as the next poll has arrived. A list of a poll that was sent to the life before therefore doesn't settle any more; the tests of restarted backend servers are stricter by one poll.

--- a/internal/emul/drawn_test.go
+++ b/internal/emul/drawn_test.go
@@ -13,6 +13,7 @@
 var (
 	seeds     = flag.Int("emul.seeds", 24, "number of drawn sessions")
 	firstSeed = flag.Uint64("emul.first", 1, "seed of the first drawn session")
+	outlive   = flag.Bool("emul.outlive", false, "slightly late requests are executed by the next incarnation of a backend server too")
 	trace     = flag.Bool("emul.trace", false, "print the log of each session that breaks a rule")
 )
 
@@ -81,6 +82,23 @@
 	}
 }
 
+// Requests are executed late by less than a lease, among them those of agents that have ended meanwhile.
+func TestDrawnFaultsBesideSlightlyLateOrders(t *testing.T) {
+	t.Parallel()
+	for i := range uint64(*seeds) {
+		cfg := DefaultConfig(*firstSeed + i)
+		cfg.LateShare, cfg.LateMin, cfg.LateRange = 0.2, 50, 750
+		cfg.SetBack, cfg.LateOutlives = i%4 == 3, *outlive
+		w := Drawn(cfg, *trace, sessionLength)
+		if len(w.Violations()) > 0 {
+			t.Errorf("seed %d: %v", cfg.Seed, w.Violations()[0])
+			if *trace {
+				t.Log(w.Log.String())
+			}
+		}
+	}
+}
+
 // Each safeguard of the lease protocol is needed: without it some random session violates an invariant.
 func TestGuardsOfLeases(t *testing.T) {
 	guards := map[string]func(cfg *Config){
--- a/internal/emul/lease_test.go
+++ b/internal/emul/lease_test.go
@@ -6,6 +6,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/disp"
 	"corianderspur.example/corianderspur/internal/room"
 )
 
@@ -48,3 +49,25 @@
 		qt.Assert(t, w.Violations(), qt.HasLen, 0, qt.Commentf("seed %d\n%s", seed+1, w.Log.String()))
 	}
 }
+
+// An agent ends while its start is under way, which the backend server carries out after the successor has listed the runs there.
+func TestStartsOfAnEndedAgentAreFenced(t *testing.T) {
+	for seed := range uint64(20) {
+		cfg := DefaultConfig(seed + 1)
+		cfg.LateMin, cfg.LateRange = 200, 300
+		w := New(cfg)
+		w.Verbose = true
+		w.Run(3 * clock.Second)
+		for i := range w.agents {
+			w.LateOrders(i, 20)
+		}
+		c := w.Submit(1, Tasks{Count: 1, Need: room.Resources{CPU: 1000}, Work: 2 * clock.Second, Estimate: 300, Patience: 10 * clock.Second})
+		w.Run(w.now + 10)
+		for _, a := range w.agents {
+			w.Kill(a, false, 30)
+		}
+		w.Run(w.now + 6*clock.Second)
+		qt.Assert(t, w.Violations(), qt.HasLen, 0, qt.Commentf("seed %d\n%s", seed+1, w.Log.String()))
+		qt.Check(t, c.Answer, qt.Equals, disp.Completed, qt.Commentf("seed %d", seed+1))
+	}
+}
--- a/internal/emul/orders.go
+++ b/internal/emul/orders.go
@@ -11,9 +11,6 @@
 	// for an ended run, in milliseconds.
 	requestLatency = 1 * clock.Millis(1)
 	pollInterval   = 2 * clock.Millis(1)
-	// A late request is executed after lateMin plus a random part of lateRange, in milliseconds.
-	lateMin   = 2000
-	lateRange = 10000
 	// clockDriftDivisor says how slow a backend server's clock is: a lease lasts longer by its length divided by this.
 	clockDriftDivisor = 50
 )
@@ -28,11 +25,7 @@
 		}
 	}
 	if w.rng.Float64() < w.cfg.LateShare || p.backend.lateOrders {
-		w.after(clock.Millis(lateMin+w.rng.IntN(lateRange)), func() {
-			if p.backend.up {
-				perform(p.backend)
-			}
-		})
+		w.executeLate(p, func() { perform(p.backend) })
 		w.after(timeout, func() { answer(noAnswer) })
 		return
 	}
@@ -51,6 +44,16 @@
 	})
 }
 
+// executeLate executes a request to an agent's backend server late.
+func (w *World) executeLate(p *proc, perform func()) {
+	born := p.backend.born
+	w.after(w.cfg.LateMin+clock.Millis(w.rng.IntN(int(w.cfg.LateRange))), func() {
+		if p.backend.up && (w.cfg.LateOutlives || p.backend.born == born) {
+			perform()
+		}
+	})
+}
+
 // leaseEnd returns the latest end of a lease from a time, on a backend server with a slow clock.
 func leaseEnd(at, lease clock.Millis) clock.Millis {
 	return at + lease + lease/clockDriftDivisor
@@ -80,11 +83,7 @@
 	incarnation := p.incarnation
 	noAnswer := runs.PollDone{Number: o.Number, Outcome: runs.OrderUnknown}
 	if w.rng.Float64() < w.cfg.LateShare {
-		w.after(clock.Millis(lateMin+w.rng.IntN(lateRange)), func() {
-			if p.backend.up {
-				p.backend.poll(o, until)
-			}
-		})
+		w.executeLate(p, func() { p.backend.poll(o, until) })
 		w.after(o.Timeout, func() { w.deliverPoll(p, incarnation, noAnswer) })
 		return
 	}
@@ -108,7 +107,7 @@
 		return
 	}
 	l := r.poll(o, until)
-	if len(l.Ended) == 0 && w.now < waitEnd {
+	if l.Outcome == runs.OrderDone && len(l.Ended) == 0 && w.now < waitEnd {
 		o.Lease = 0
 		w.after(pollInterval, func() { w.waitPoll(p, o, until, waitEnd, incarnation) })
 		return
--- a/internal/emul/runner.go
+++ b/internal/emul/runner.go
@@ -46,6 +46,8 @@
 	ended      []runs.Ended
 	lastEnd    uint64
 	highestRun map[string]int
+	// fence is the highest fencing token that was seen.
+	fence uint64
 }
 
 type activeRun struct {
@@ -107,11 +109,22 @@
 	r.leaseUntil = max(r.leaseUntil, min(until, r.world.now+r.world.cfg.HoldMost))
 }
 
+// isFenced reports whether a higher fencing token was seen.
+func (r *backend) isFenced(token uint64) bool {
+	if token < r.fence {
+		return true
+	}
+	r.fence = token
+	return false
+}
+
 // start executes a start request whose lease ends at until.
 func (r *backend) start(o runs.StartRun, until clock.Millis) runs.Outcome {
 	r.advance()
 	cur := r.runs[o.Task]
 	switch {
+	case r.isFenced(o.Token):
+		return runs.OrderFenced
 	case cur != nil && cur.number == o.Run:
 		return runs.OrderDone
 	case o.Run <= r.highestRun[o.Task] || until <= r.world.now:
@@ -134,6 +147,9 @@
 
 func (r *backend) halt(o runs.HaltRun) runs.Outcome {
 	r.advance()
+	if r.isFenced(o.Token) {
+		return runs.OrderFenced
+	}
 	if o.Run > r.highestRun[o.Task] {
 		r.highestRun[o.Task] = o.Run
 	}
@@ -149,6 +165,9 @@
 
 func (r *backend) poll(o runs.Poll, until clock.Millis) runs.PollDone {
 	r.advance()
+	if r.isFenced(o.Token) {
+		return runs.PollDone{Number: o.Number, Outcome: runs.OrderFenced, Born: r.born}
+	}
 	if o.Lease > 0 {
 		r.renewLease(until)
 	}
--- a/internal/emul/world.go
+++ b/internal/emul/world.go
@@ -36,8 +36,15 @@
 	Total      room.Resources
 	Dispatcher disp.Config
 	Keeper     runs.Config
-	// LateShare is the fraction of requests to backend servers that get no answer and are executed 2 to 12 s late.
+	// LateShare is the fraction of requests to backend servers that get no answer and are executed late.
 	LateShare float64
+	// LateMin and LateRange say how late such requests are executed: LateMin and a random part of LateRange, in milliseconds.
+	LateMin, LateRange clock.Millis
+	// LateOutlives says that such a request is executed by the next incarnation of the backend server if that has the same id;
+	// otherwise it ends with the one that it was sent to.
+	LateOutlives bool
+	// SetBack says that the time of day is set back before each start of an agent.
+	SetBack bool
 	// HoldMost is the longest lease that a backend server grants, in milliseconds.
 	HoldMost clock.Millis
 	// Latency is the one-way delay of a message between an entry and an agent, in milliseconds.
@@ -50,6 +57,7 @@
 func DefaultConfig(seed uint64) Config {
 	return Config{
 		Seed: seed, Entries: 3, Agents: 4, Total: room.Resources{CPU: 32000, MemMB: 64000}, HoldMost: maxLease, Latency: 1,
+		LateMin: 2 * clock.Second, LateRange: 10 * clock.Second, LateOutlives: true,
 		Dispatcher: disp.Config{
 			Beat: 100, Silence: 400, IdleBeat: 400, IdleSilence: 1000, Lease: 800, ReattachTimeout: 200, AnswerMargin: 60, DrainLimit: 5000,
 		},
@@ -150,7 +158,7 @@
 }
 
 // LateOrders leaves all starts and stops at the backend server of the agent with a number unanswered for a time; they are executed
-// seconds late. Polls are answered.
+// late. Polls are answered.
 func (w *World) LateOrders(agent int, span clock.Millis) {
 	r := w.agents[agent].backend
 	w.logf("late orders at %s", r.agent)
@@ -196,7 +204,7 @@
 	p.incarnation = incarnation
 	if p.isAgent {
 		cfg := w.cfg.Keeper
-		cfg.ID, cfg.Name = p.id, p.name
+		cfg.ID, cfg.Name, cfg.Token = p.id, p.name, w.token()
 		p.machine = runs.New(cfg)
 	} else {
 		cfg := w.cfg.Dispatcher
@@ -214,6 +222,17 @@
 	}
 }
 
+// token returns the fencing token of an agent that starts now. With Config.SetBack each is lower than the one before.
+func (w *World) token() uint64 {
+	if w.cfg.SetBack {
+		return uint64(1<<30-w.lastSerial) * tokenUnit
+	}
+	return uint64(w.lastSerial) * tokenUnit
+}
+
+// tokenUnit is the distance between the tokens of two incarnations.
+const tokenUnit = 1 << 10
+
 // restoreTime is how long a starting agent takes to read its backend server from its stored row, in milliseconds.
 const restoreTime = 20 * clock.Millis(1)
 
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -37,10 +37,11 @@
 }
 
 // NewKeeper creates a keeper that has not started. The runner counts leases on the same clock.
-func NewKeeper(cfg conf.Keeper, incarnation string, runner Runner, c clock.Clock, log logr.Logger, m *meter.Meter) *Keeper {
+func NewKeeper(cfg conf.Keeper, incarnation string, seed uint64, runner Runner, c clock.Clock, log logr.Logger, m *meter.Meter) *Keeper {
 	id := shard.ID(cfg.Name + "/" + incarnation)
 	machine := runs.New(runs.Config{
-		ID: id, Name: cfg.Name, Lease: cfg.LeaseMS, Silence: cfg.SilenceMS, IdleSilence: cfg.IdleSilenceMS, Reattach: cfg.ReattachMS, PollWait: cfg.PollWaitMS,
+		ID: id, Name: cfg.Name, Token: newToken(seed), Lease: cfg.LeaseMS, Silence: cfg.SilenceMS, IdleSilence: cfg.IdleSilenceMS,
+		Reattach: cfg.ReattachMS, PollWait: cfg.PollWaitMS,
 		OrderTimeout: cfg.OrderTimeoutMS, DrainLimit: cfg.DrainLimitMS,
 	})
 	k := &Keeper{
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -13,6 +13,8 @@
 	// ID names this incarnation of the agent, Name the instance.
 	ID   shard.ID
 	Name string
+	// Token is the first fencing token of this incarnation. It is above those of earlier ones unless the time of day was set back.
+	Token uint64
 	// Lease is how long a backend server keeps running tasks without a renewal.
 	Lease clock.Millis
 	// Silence is how long a dispatcher may be silent before its runs are stopped.
@@ -70,7 +72,9 @@
 	Instance string
 	Task     string
 	Run      int
-	Spec     string
+	// Token is the fencing token of the agent.
+	Token uint64
+	Spec  string
 	// Born names the life of the instance whose clock the lease is counted on.
 	Born int64
 	// At is when the start was decided. Lease is how long all runs at the backend server may continue from then, in milliseconds; a
@@ -95,6 +99,8 @@
 const (
 	// OrderDone means that the order was carried out.
 	OrderDone Outcome = "done"
+	// OrderFenced means that nothing was done, since the backend server has seen a higher fencing token.
+	OrderFenced Outcome = "fenced"
 	// OrderNoRoom, OrderOld and OrderRefused mean that nothing was done.
 	OrderNoRoom  Outcome = "no_room"
 	OrderOld     Outcome = "old"
@@ -112,7 +118,9 @@
 	Instance string
 	Task     string
 	Run      int
-	Timeout  clock.Millis
+	// Token is the fencing token of the agent.
+	Token   uint64
+	Timeout clock.Millis
 }
 
 // HaltDone is the outcome of a HaltRun.
@@ -126,6 +134,8 @@
 // Poll asks the backend server for its runs and renews the lease of all of them.
 type Poll struct {
 	Instance string
+	// Token is the fencing token of the agent.
+	Token uint64
 	// Born names the life of the instance whose clock the lease is counted on.
 	Born int64
 	// At is when the poll was decided. Lease is how long all runs at the backend server may continue from then, in milliseconds; zero
@@ -292,6 +302,7 @@
 	// nextPollAt is when the next poll may be sent.
 	nextPollAt     clock.Millis
 	leaseRenewedAt clock.Millis
+	fence          fence
 	// lapsing says that a stop of a revoked run is overdue, so that all leases lapse.
 	lapsing       bool
 	stopping      bool
@@ -318,7 +329,8 @@
 		cfg.IdleSilence = cfg.Silence
 	}
 	return &Machine{
-		cfg: cfg, departed: map[life]bool{}, peers: map[shard.ID]*peer{}, runs: map[string]*run{}, orphans: map[string]clock.Millis{},
+		cfg: cfg, fence: fence{token: cfg.Token, step: fenceStep}, departed: map[life]bool{}, peers: map[shard.ID]*peer{}, runs: map[string]*run{},
+		orphans: map[string]clock.Millis{},
 	}
 }
 
--- a/internal/runs/lease_controller.go
+++ b/internal/runs/lease_controller.go
@@ -194,9 +194,10 @@
 		return
 	}
 	m.lastPoll++
+	m.fence.startLife(m.instance)
 	poll := Poll{
-		Instance: m.instance.ID, Born: m.instance.Born, At: m.now, Lease: m.cfg.Lease, AckedEnd: m.lastEndSeen, Wait: m.cfg.PollWait,
-		Number: m.lastPoll, Timeout: m.cfg.PollWait + m.cfg.OrderTimeout,
+		Instance: m.instance.ID, Token: m.fence.token, Born: m.instance.Born, At: m.now, Lease: m.cfg.Lease, AckedEnd: m.lastEndSeen,
+		Wait: m.cfg.PollWait, Number: m.lastPoll, Timeout: m.cfg.PollWait + m.cfg.OrderTimeout,
 	}
 	if m.pollAtOnce {
 		m.pollAtOnce = false
@@ -319,6 +320,9 @@
 	case ev.Outcome == OrderGone:
 		m.handleInstanceLost()
 		return
+	case ev.Outcome == OrderFenced:
+		m.handleFenced()
+		return
 	case ev.Outcome != OrderDone:
 		m.nextPollAt = m.now + pollBackoff
 		m.countUnanswered()
@@ -331,12 +335,16 @@
 		return
 	}
 	m.olderBorn, m.olderAnswers = 0, 0
+	m.health.resetUnanswered()
+	m.fence.accepted = true
 	if ev.Born != m.instance.Born {
 		m.changeIncarnation(ev.Born)
-	} else {
-		m.lastEndAcked = max(m.lastEndAcked, poll.AckedEnd)
 	}
-	m.health.resetUnanswered()
+	if poll.Born != m.instance.Born {
+		// The next poll uses the token of the new life and lists the same again.
+		return
+	}
+	m.lastEndAcked = max(m.lastEndAcked, poll.AckedEnd)
 	for _, e := range ev.Ended {
 		m.handleEnded(e)
 	}
@@ -448,5 +456,5 @@
 	}
 	m.orphans[r.Task] = m.now
 	m.note(event.Note{Name: "stranger_stopped", Job: r.Task})
-	m.emit(HaltRun{Instance: m.instance.ID, Task: r.Task, Run: r.Run, Timeout: m.cfg.OrderTimeout})
+	m.emit(HaltRun{Instance: m.instance.ID, Task: r.Task, Run: r.Run, Token: m.fence.token, Timeout: m.cfg.OrderTimeout})
 }
--- a/internal/runs/lease_controller_test.go
+++ b/internal/runs/lease_controller_test.go
@@ -74,8 +74,11 @@
 	a.answerPollAs(1)
 	qt.Assert(t, a.m.runs["before.0.0.0"], qt.IsNotNil)
 	a.begin("e2/1", "after", 1000)
-	a.confirmUnnamed("after")
 
+	// The poll was sent to the life before, under a token that still lets its orders start.
+	a.answerPollAs(2)
+	qt.Check(t, a.m.used.CPU, qt.Equals, int64(2000))
+	a.confirmUnnamed("after")
 	a.answerPollAs(2)
 	qt.Check(t, a.m.runs["before.0.0.0"], qt.IsNil)
 	qt.Check(t, a.m.used.CPU, qt.Equals, int64(1000))
@@ -242,6 +245,8 @@
 	qt.Check(t, a.reportedEnds("e2/1"), qt.HasLen, 0)
 	qt.Check(t, a.m.used.CPU, qt.Equals, int64(1000))
 	a.handle(Announced{Instance: instance(3)})
+	qt.Check(t, a.m.accepting(), qt.IsFalse)
+	a.answerPollAs(3, Running{Task: "new.0.0.0", Run: 1})
 	qt.Check(t, a.m.accepting(), qt.IsTrue)
 
 	// A late heartbeat of the incarnation before ends nothing; the next poll decides.
@@ -280,8 +285,9 @@
 	a.handle(Announced{Instance: instance(5)})
 	a.answerPollAs(5)
 	a.handle(Announced{Instance: instance(3)})
-	a.answerPollAs(3)
-	a.answerPollAs(3)
+	for range 3 {
+		a.answerPollAs(3)
+	}
 	in := instance(3)
 	in.Total.CPU = 1000
 	a.handle(Announced{Instance: in})
--- a/internal/runs/run_controller.go
+++ b/internal/runs/run_controller.go
@@ -39,8 +39,8 @@
 	m.used = m.used.Plus(r.need)
 	m.leaseRenewedAt = m.now
 	m.emit(StartRun{
-		Instance: m.instance.ID, Born: m.instance.Born, Task: r.task, Run: r.run, Spec: r.spec, At: m.now, Lease: m.cfg.Lease,
-		Timeout: m.cfg.OrderTimeout,
+		Instance: m.instance.ID, Born: m.instance.Born, Task: r.task, Run: r.run, Token: m.fence.token, Spec: r.spec, At: m.now,
+		Lease: m.cfg.Lease, Timeout: m.cfg.OrderTimeout,
 	})
 }
 
@@ -124,7 +124,7 @@
 	if m.instance == nil {
 		return
 	}
-	m.emit(HaltRun{Instance: m.instance.ID, Task: r.task, Run: r.run, Timeout: m.cfg.OrderTimeout})
+	m.emit(HaltRun{Instance: m.instance.ID, Task: r.task, Run: r.run, Token: m.fence.token, Timeout: m.cfg.OrderTimeout})
 }
 
 // retryHalt repeats a stop that got no answer.
