--- a/internal/disp/proof.go
+++ b/internal/disp/proof.go
@@ -13,7 +13,7 @@
 }
 
 var (
-	// notInInventory: the agent's list of runs covers the order and lacks the run, whose end was lost with the agent's memory.
+	// notInInventory: the agent's list of runs covers the order and lacks the run, or the order was lost with its session.
 	notInInventory = proof{name: "not_in_inventory"}
 	// leaseLapsed: every lease under which the run could be at work has lapsed.
 	leaseLapsed = proof{name: "lease_lapsed"}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -85,7 +85,7 @@
 	Instance string
 	Shard    int
 	Version  uint64
-	// Run is the number of a task's run, and Seq the number of the last order that a list of runs covers.
+	// Run is the number of a task's run, and Seq that of the order it was sent with, or of the last order that a list of runs covers.
 	Run   int
 	Seq   uint64
 	Count int
--- a/internal/proto/order.go
+++ b/internal/proto/order.go
@@ -95,7 +95,7 @@
 type Report struct {
 	// Echo repeats the newest Stamp that was received.
 	Echo clock.Millis `cbor:"echo"`
-	// LastBegin is the Seq of the last Begin that Free accounts for.
+	// LastBegin is the Seq of the last Begin that the report accounts for: Free, Ends and Inventory say nothing of later ones.
 	LastBegin uint64         `cbor:"begun,omitempty"`
 	Free      room.Resources `cbor:"free"`
 	// Accepting says that the agent accepts new tasks.
@@ -107,7 +107,7 @@
 	Pace float64 `cbor:"pace,omitempty"`
 	// Facts is included if it changed, and in the first report of a session.
 	Facts *Facts `cbor:"facts,omitempty"`
-	// Inventory lists the dispatcher's runs in the first report of a session.
+	// Inventory lists the dispatcher's runs in the first report of a session, and after each change of the backend server.
 	Inventory *Inventory `cbor:"inventory,omitempty"`
 	// Cancels are relayed from other dispatchers.
 	Cancels []RelayedCancel `cbor:"cancels,omitempty"`
