Wait for the inventory of a session that is back before lost tasks start elsewhere

What it did: the tasks lost with a session start elsewhere Silence + Lease + Lease/40 after the loss. If the session comes back, its stamps let the agent's runs go on, but until an inventory arrived the bound of the earlier loss stayed in force; a second loss didn't move it either, since only tasks in state sent were marked. Sessions that break again before the inventory arrives thus end in a start elsewhere while the agent has fresh authority. A job whose session was back also counted as one that can't return, and was given up.

Evidence: TestLostTasksWaitWhileTheirSessionIsBackWithoutAnInventory: before the change the task starts elsewhere 50 ms after a stamp to the first agent, where the bound is 1220 ms.

While the session is back nothing is concluded; each loss counts the bound anew.

--- a/internal/disp/agent_controller.go
+++ b/internal/disp/agent_controller.go
@@ -61,6 +61,9 @@
 	for _, id := range m.jobIDs() {
 		j := m.jobs[id]
 		for _, t := range j.tasks {
+			if t.state == lost && t.agent == v.id {
+				t.lapseAt = lapseAt
+			}
 			if t.state == sent && t.agent == v.id {
 				t.state = lost
 				t.lapseAt = lapseAt
--- a/internal/disp/job_controller.go
+++ b/internal/disp/job_controller.go
@@ -184,8 +184,11 @@
 		j.hasLost = true
 		usefulUntil := min(j.deadline, j.received+usefulObjectives*j.queued.Objective)
 		v := m.agents[t.agent]
-		mayReturn := v != nil && m.now-v.downAt <= m.cfg.ReattachTimeout
+		// While the session is back its stamps let the agent's runs go on, and its inventory is still to come.
+		isBack := v != nil && v.downAt == 0
+		mayReturn := isBack || (v != nil && m.now-v.downAt <= m.cfg.ReattachTimeout)
 		switch {
+		case isBack:
 		case m.now >= t.lapseAt:
 			t.ran = true
 			m.requeue(j, t, leaseLapsed)
