Remember with a job that it may have run

Callers were told "not_run" of a job whose task had failed, or was lost with its agent, and waited to be started again when the job was cancelled or reached its deadline. They may then have the work done elsewhere, and it is done twice.

job.ran looked at the present states of the tasks only, and a task that is queued again looks like one that was never sent. The check with an agent asks about the owner of the shard, not about the job, and confirmed the answer. A handed over job had lost it in the same way, and an outcome that is passed over because the task is at another agent meanwhile left no trace.

The job now keeps what is known of the starts that the tasks' states no longer show, and it only ever rises: "ran" with an outcome of a run, "unknown" when a started task is given up with its agent or another agent reports it, too. A refusal, and a start that an agent's answer to the fence doesn't list, still leave nothing, so that a job of which everything came back as not started is "not_run". The state travels with the hand-over (ran_before, optional). If an entry of an older version left it out, attempts that its state doesn't explain may have run.

--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -43,6 +43,8 @@
 	starts    int
 	waiters   []shard.ID
 	answer    *proto.Answer
+	// ranBefore is what is known of the starts that the states of the tasks no longer show; it only ever rises.
+	ranBefore proto.Ran
 	// ending is set while the failure answer waits for the check that nothing ran.
 	ending bool
 	// lastAgent is the agent that the most recent task was sent to.
@@ -82,7 +84,10 @@
 
 // ran reports whether any task has been started, as far as the owner knows.
 func (j *job) ran() proto.Ran {
-	ran := proto.RanNo
+	ran := j.earlierStarts()
+	if ran == proto.RanYes {
+		return ran
+	}
 	for i := range j.tasks {
 		switch j.tasks[i].state {
 		case taskDone, taskFailed:
@@ -94,6 +99,21 @@
 	return ran
 }
 
+// earlierStarts reports whether any start that the states of the tasks no longer show was carried out.
+func (j *job) earlierStarts() proto.Ran {
+	if j.ranBefore == "" {
+		return proto.RanNo
+	}
+	return j.ranBefore
+}
+
+// noteRan remembers that a task has run, or may have, when its state changes so that it can be started again.
+func (j *job) noteRan(ran proto.Ran) {
+	if ran == proto.RanYes || (ran == proto.RanUnknown && j.ranBefore != proto.RanYes) {
+		j.ranBefore = ran
+	}
+}
+
 func (j *job) kind() string {
 	if j.content == nil {
 		return ""
--- a/internal/entry/job_memory.go
+++ b/internal/entry/job_memory.go
@@ -63,7 +63,7 @@
 		if j.shard != number {
 			continue
 		}
-		memory := proto.JobState{Key: j.key, Digest: j.digest, Age: c.now - j.touchedAt, Answer: j.answer}
+		memory := proto.JobState{Key: j.key, Digest: j.digest, Age: c.now - j.touchedAt, Answer: j.answer, RanBefore: j.earlierStarts()}
 		for _, t := range j.tasks {
 			memory.Tasks = append(memory.Tasks, t.export())
 		}
@@ -94,6 +94,7 @@
 			j = c.addJob(memory.Key, c.maps.current.ShardOf(memory.Key), memory.Digest)
 		}
 		j.answer = memory.Answer
+		j.noteRan(memory.EarlierStarts())
 		for i, m := range memory.Tasks {
 			t := j.task(i)
 			if t == nil || t.state == taskDone {
--- a/internal/entry/job_outcomes.go
+++ b/internal/entry/job_outcomes.go
@@ -72,6 +72,9 @@
 
 // applyOutcome updates a task from one outcome and reports whether the outcome was new.
 func (c *JobController) applyOutcome(j *job, from shard.ID, o *proto.Outcome) bool {
+	if o.State == proto.StateDone || o.State == proto.StateFailed {
+		j.noteRan(proto.RanYes)
+	}
 	t := j.task(o.Index)
 	if t == nil || t.state == taskDone {
 		return false
@@ -85,6 +88,7 @@
 		return true
 	}
 	if t.state == taskSent && !expected && o.State != proto.StateDone {
+		j.noteRan(proto.RanUnknown)
 		return false
 	}
 	t.attempt = max(t.attempt, o.Attempt)
@@ -155,6 +159,7 @@
 				continue
 			}
 			if c.mayRetry(j, t) && c.dispatch.SpendRetry() {
+				j.noteRan(proto.RanUnknown)
 				t.state = taskPending
 				c.dispatch.Queue(j, i)
 				continue
--- a/internal/proto/takeover.go
+++ b/internal/proto/takeover.go
@@ -46,6 +46,22 @@
 	Age    clock.Millis `cbor:"age"`
 	Tasks  []TaskState  `cbor:"tasks"`
 	Answer *Answer      `cbor:"answer,omitempty"`
+	// RanBefore speaks of the starts that Tasks no longer shows; entries of older versions leave it out.
+	RanBefore Ran `cbor:"ran_before,omitempty"`
+}
+
+// EarlierStarts reports whether any start that Tasks no longer shows was carried out. If the sender left that out, each
+// attempt before the one that a task's state shows may have run.
+func (s *JobState) EarlierStarts() Ran {
+	if s.RanBefore != "" {
+		return s.RanBefore
+	}
+	for _, t := range s.Tasks {
+		if t.Attempt > 1 || (t.Attempt > 0 && t.State == 0) {
+			return RanUnknown
+		}
+	}
+	return RanNo
 }
 
 // Handover transfers the state of one shard to its new owner.
