Keep in an agent's record that an earlier attempt ran

Callers could be told "not_run" of a job that had run: a task failed at an agent, was sent to it again and was refused, because its backend server was leaving. Then the owner died. The agent's record shows the latest attempt only, so that the new owner, with the fence confirmed by every agent, found nothing but a refusal.

A record now keeps whether an earlier attempt at this agent may have run, also through the transfer of records to another agent, and says so with outcomes from the second attempt on that don't show a run themselves (ran_before, optional). A later owner notes it with the job. If an agent of an older version left it out, an earlier attempt may have run.

Seen failing before the change: TestFailureBeforeARefusalIsRememberedAcrossTakeover, got "not_run" and "job ... is said not to have run, but did".

--- a/internal/agent/record_controller.go
+++ b/internal/agent/record_controller.go
@@ -23,8 +23,10 @@
 	dropped bool
 	acked   bool
 	// held is whether the outcome is held back to be sent with others of the job.
-	held   bool
-	output []byte
+	held bool
+	// ranBefore is whether an earlier attempt may have run.
+	ranBefore bool
+	output    []byte
 }
 
 // refusalReasons lists the reasons for which agents refuse starts; taskRecord.refusal is an index into it.
@@ -44,10 +46,18 @@
 }
 
 func (t *taskRecord) outcome() proto.Outcome {
-	return proto.Outcome{
+	o := proto.Outcome{
 		Index: int(t.index), Attempt: int(t.attempt), State: proto.State(t.state), Refusal: refusalReasons[t.refusal],
 		RunTime: clock.Millis(t.runTime), Output: t.output, Dropped: t.dropped,
 	}
+	switch {
+	case o.State == proto.StateDone || o.State == proto.StateFailed:
+	case t.ranBefore:
+		o.RanBefore = proto.RanUnknown
+	case t.attempt > 1:
+		o.RanBefore = proto.RanNo
+	}
+	return o
 }
 
 func (t *taskRecord) final() bool {
@@ -274,6 +284,7 @@
 		r.tasks = append(r.tasks, taskRecord{acked: true})
 		t = &r.tasks[len(r.tasks)-1]
 		t.set(o)
+		t.ranBefore = o.MayHaveRunBefore()
 		return
 	}
 	attempt := max(o.Attempt, int(t.attempt))
@@ -283,6 +294,7 @@
 		t.set(o)
 		t.acked = true
 	}
+	t.ranBefore = t.ranBefore || o.MayHaveRunBefore() || (!t.final() && o.State != proto.StateRefused)
 	if t.final() {
 		t.attempt = int32(attempt)
 	}
--- a/internal/agent/run_controller.go
+++ b/internal/agent/run_controller.go
@@ -149,6 +149,7 @@
 		r.tasks = append(r.tasks, taskRecord{})
 		t = &r.tasks[len(r.tasks)-1]
 	}
+	t.ranBefore = t.ranBefore || proto.State(t.state) == proto.StateFailed
 	t.set(proto.Outcome{Index: item.Index, Attempt: item.Attempt, State: proto.StateQueued})
 	t.acked = false
 	if refusal == "" {
--- a/internal/entry/job_outcomes.go
+++ b/internal/entry/job_outcomes.go
@@ -80,6 +80,9 @@
 		return false
 	}
 	expected := t.state == taskSent && baseID(t.agent) == baseID(from)
+	if !expected && o.MayHaveRunBefore() {
+		j.noteRan(proto.RanUnknown)
+	}
 	if expected && o.State >= proto.StateDone {
 		c.agents.Ended(from, j.kind(), j.decision.Urgent, o)
 	}
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -239,6 +239,17 @@
 	Output  []byte       `cbor:"output,omitempty"`
 	// Dropped says that the task is done but its output is no longer kept.
 	Dropped bool `cbor:"dropped,omitempty"`
+	// RanBefore says of an attempt after the first, unless it has ended, whether the agent may have run an earlier one; agents
+	// of older versions leave it out.
+	RanBefore Ran `cbor:"ran_before,omitempty"`
+}
+
+// MayHaveRunBefore reports whether the agent may have run an earlier attempt of the task.
+func (o *Outcome) MayHaveRunBefore() bool {
+	if o.RanBefore == "" {
+		return o.Attempt > 1
+	}
+	return o.RanBefore != RanNo
 }
 
 // Result reports finished or refused tasks of one job to the owner of its shard.
--- a/internal/proto/takeover_test.go
+++ b/internal/proto/takeover_test.go
@@ -8,7 +8,7 @@
 	"corianderspur.example/corianderspur/internal/proto"
 )
 
-// An entry of an older version leaves out what ran before: that must not be taken as never started.
+// An entry or an agent of an older version leaves out what ran before: then nothing is known, unless one start was sent.
 func TestStateOfAnOlderVersionIsNotTakenAsNeverStarted(t *testing.T) {
 	for _, x := range []struct {
 		state proto.JobState
@@ -23,4 +23,15 @@
 	} {
 		qt.Check(t, x.state.EarlierStarts(), qt.Equals, x.want, qt.Commentf("%+v", x.state))
 	}
+	for _, x := range []struct {
+		outcome proto.Outcome
+		want    bool
+	}{
+		{proto.Outcome{Attempt: 1, State: proto.StateRefused}, false},
+		{proto.Outcome{Attempt: 2, State: proto.StateRefused}, true},
+		{proto.Outcome{Attempt: 2, State: proto.StateRefused, RanBefore: proto.RanNo}, false},
+		{proto.Outcome{Attempt: 2, State: proto.StateRefused, RanBefore: proto.RanUnknown}, true},
+	} {
+		qt.Check(t, x.outcome.MayHaveRunBefore(), qt.Equals, x.want, qt.Commentf("%+v", x.outcome))
+	}
 }
--- a/internal/trial/not_run_test.go
+++ b/internal/trial/not_run_test.go
@@ -66,3 +66,25 @@
 	c.Check(w.copies[0].answer.Run, qt.Not(qt.Equals), proto.RanNo)
 	w.heldAll(c)
 }
+
+// A task that failed at an agent which then refused it has run, although the agent's record shows the refusal only.
+func TestFailureBeforeARefusalIsRememberedAcrossTakeover(t *testing.T) {
+	c, w := session(t, 2, 1)
+	e0, e1, a0 := w.proc("e0"), w.proc("e1"), w.proc("a0")
+	w.behave["a0"] = agent.VerdictTaskFailed
+	j := w.owned(e0, check, 200)
+	w.submit(e1, j)
+	w.run(203)
+	c.Assert(w.started[j.Key], qt.Equals, 1)
+	a0.handle(agent.BackendLeaving{})
+	w.run(5)
+	c.Assert(w.refused, qt.Equals, 1)
+	e0.kill()
+	w.run(lease + 2000)
+	c.Assert(w.owner(e1, j), qt.Equals, e1)
+	e1.handle(entry.CancelJob{Key: j.Key})
+	w.run(500)
+	c.Assert(w.copies[0].answer, qt.IsNotNil)
+	c.Check(w.copies[0].answer.Run, qt.Not(qt.Equals), proto.RanNo)
+	w.heldAll(c)
+}
