Deliver "not_run" only in answer to the newest forward of a job

A caller could be told "not_run" by an owner that had lost the shard meanwhile. Its entry had forwarded the job again by then, to the new owner or on a new session, and the job was started after the answer. docs/API.md excepts only copies that the caller itself still has under way; this one was answered. A caller that takes "not_run" as over and has the work done elsewhere gets it done twice.

Forwards now carry a number that increases with each forward of an entry, and the answer repeats the newest that its owner has received from the entry (both optional). An answer "not_run" of an older forward is dropped, and the callers wait for the answer to the newest, at most until their deadline and then "unknown". An owner of an older version doesn't number its answers: if the job was forwarded once, its answer stands, otherwise the caller is told "unknown".

--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -31,6 +31,12 @@
 	imported bool
 }
 
+// waiter is an entry that waits for the answer to a job, with the number of its last forward of the job.
+type waiter struct {
+	entry   shard.ID
+	forward uint64
+}
+
 // job is the owner's state of a job; content is nil while only agents' or a former owner's records of it are known.
 type job struct {
 	key       shard.Key
@@ -41,7 +47,7 @@
 	tasks     []task
 	remaining int
 	starts    int
-	waiters   []shard.ID
+	waiters   []waiter
 	answer    *proto.Answer
 	// ranBefore is what is known of the starts that the states of the tasks no longer show; it only ever rises.
 	ranBefore proto.Ran
@@ -73,13 +79,14 @@
 	return &j.tasks[index]
 }
 
-func (j *job) addWaiter(from shard.ID) {
-	for _, w := range j.waiters {
-		if w == from {
+func (j *job) addWaiter(from shard.ID, forward uint64) {
+	for i := range j.waiters {
+		if w := &j.waiters[i]; w.entry == from {
+			w.forward = max(w.forward, forward)
 			return
 		}
 	}
-	j.waiters = append(j.waiters, from)
+	j.waiters = append(j.waiters, waiter{entry: from, forward: forward})
 }
 
 // ran reports whether any task has been started, as far as the owner knows.
--- a/internal/entry/job_controller.go
+++ b/internal/entry/job_controller.go
@@ -50,14 +50,15 @@
 	if j != nil && f.Job.Digest != 0 && j.digest != f.Job.Digest {
 		c.deliver(from, &proto.Answer{
 			Key: j.key, Digest: f.Job.Digest, Status: proto.StatusRefused, Run: j.ran(), Reason: proto.ReasonConflict,
+			Forward: f.Number,
 		})
 		return
 	}
 	switch {
 	case j != nil && j.answer != nil && !mayResubmit(j.answer):
-		c.repeatAnswer(j, from)
+		c.repeatAnswer(j, from, f.Number)
 	case j != nil && j.content != nil && j.answer == nil:
-		j.addWaiter(from)
+		j.addWaiter(from, f.Number)
 		j.deadline = max(j.deadline, c.now+f.Job.Budget)
 	case !f.Wait:
 		c.answerUnknown(from, f, j)
@@ -71,15 +72,18 @@
 	return a.Run == proto.RanNo && a.Reason != proto.ReasonCancelled
 }
 
-func (c *JobController) repeatAnswer(j *job, to shard.ID) {
+func (c *JobController) repeatAnswer(j *job, to shard.ID, forward uint64) {
 	c.touch(j)
 	c.emit(event.Note{Name: "answer_repeated", Job: j.id(), Reason: string(j.answer.Status)})
 	answer := *j.answer
+	answer.Forward = forward
 	c.deliverChecked(to, &answer)
 }
 
 func (c *JobController) answerUnknown(from shard.ID, f *proto.Forward, j *job) {
-	a := &proto.Answer{Key: f.Job.Key, Status: proto.StatusRefused, Run: proto.RanUnknown, Reason: proto.ReasonUnknownJob}
+	a := &proto.Answer{
+		Key: f.Job.Key, Status: proto.StatusRefused, Run: proto.RanUnknown, Reason: proto.ReasonUnknownJob, Forward: f.Number,
+	}
 	if j != nil && j.ran() == proto.RanYes {
 		a.Run = proto.RanYes
 	}
@@ -118,7 +122,7 @@
 	j.answer = nil
 	j.acceptedAt = c.now
 	j.deadline = c.now + content.Budget
-	j.addWaiter(from)
+	j.addWaiter(from, f.Number)
 	j.tasks = slices.Grow(j.tasks, max(0, len(content.Tasks)-len(j.tasks)))[:len(content.Tasks)]
 	c.live = append(c.live, j)
 	c.emit(event.Note{
@@ -131,6 +135,7 @@
 func (c *JobController) refuse(to shard.ID, f *proto.Forward, state *shardState, reason proto.Reason, retry clock.Millis) {
 	a := &proto.Answer{
 		Key: f.Job.Key, Digest: f.Job.Digest, Status: proto.StatusRefused, Run: proto.RanNo, Reason: reason, RetryAfter: retry,
+		Forward: f.Number,
 	}
 	if !state.startsKnown {
 		a.Run = proto.RanUnknown
@@ -226,7 +231,7 @@
 		Reason: string(a.Status) + reasonSuffix(a.Reason), Count: j.starts, Took: c.now - j.acceptedAt,
 	})
 	for _, w := range waiters {
-		c.deliver(w, a)
+		c.deliverTo(w, a)
 	}
 	if j.content != nil {
 		j.content = &proto.Job{ID: j.content.ID, Tenant: j.content.Tenant}
@@ -238,6 +243,12 @@
 	}
 }
 
+func (c *JobController) deliverTo(w waiter, a *proto.Answer) {
+	answer := *a
+	answer.Forward = w.forward
+	c.deliver(w.entry, &answer)
+}
+
 func reasonSuffix(r proto.Reason) string {
 	if r == "" {
 		return ""
@@ -278,9 +289,9 @@
 func (c *JobController) reply(to shard.ID, j *job, a *proto.Answer) {
 	switch {
 	case j != nil && (j.live() || j.ending) && j.digest == a.Digest:
-		j.addWaiter(to)
+		j.addWaiter(to, a.Forward)
 	case j != nil && j.answer != nil && j.answer.Run != proto.RanNo && j.digest == a.Digest:
-		c.deliver(to, j.answer)
+		c.deliverTo(waiter{entry: to, forward: a.Forward}, j.answer)
 	default:
 		c.deliver(to, a)
 	}
--- a/internal/entry/route_controller.go
+++ b/internal/entry/route_controller.go
@@ -24,7 +24,9 @@
 	key     shard.Key
 	forward proto.Forward
 	sentTo  shard.ID
-	callers []caller
+	// repeated is whether the job was forwarded more than once.
+	repeated bool
+	callers  []caller
 }
 
 // RouteController forwards the jobs of this entry's callers to their owners and returns the answers.
@@ -34,6 +36,8 @@
 	jobs   *JobController
 	routes map[shard.Key][]*route
 	refs   map[uint64]shard.Key
+	// forwards counts the forwards sent.
+	forwards uint64
 }
 
 // NewRouteController creates a controller without callers.
@@ -75,6 +79,9 @@
 	}
 	owner := c.maps.current.Shards[c.maps.current.ShardOf(r.key)].ID
 	r.sentTo = owner
+	r.repeated = r.forward.Number != 0
+	c.forwards++
+	r.forward.Number = c.forwards
 	f := r.forward
 	f.Job.Budget = c.budget(r)
 	if owner == c.cfg.ID {
@@ -117,13 +124,14 @@
 	return list
 }
 
-// Answer delivers an owner's answer to every caller that submitted the same content.
+// Answer delivers an owner's answer to every caller that submitted the same content. One that says that nothing ran
+// speaks of the forwards before it was made only: a later one may have the job started.
 func (c *RouteController) Answer(a *proto.Answer) {
 	matched := false
 	for _, r := range slices.Clone(c.routes[a.Key]) {
 		if a.Digest == r.forward.Job.Digest || r.forward.Job.Digest == 0 {
 			matched = true
-			c.answerRoute(r, a)
+			c.answerNewest(r, a)
 		}
 	}
 	if !matched {
@@ -131,6 +139,21 @@
 	}
 }
 
+// answerNewest delivers an answer that covers the newest forward of a job; otherwise the callers wait for the answer to that
+// one, or are told that it is unknown whether anything ran if the owner doesn't number its answers.
+func (c *RouteController) answerNewest(r *route, a *proto.Answer) {
+	switch {
+	case a.Run != proto.RanNo || a.Forward >= r.forward.Number || (a.Forward == 0 && !r.repeated):
+		c.answerRoute(r, a)
+	case a.Forward == 0:
+		unknown := *a
+		unknown.Run = proto.RanUnknown
+		c.answerRoute(r, &unknown)
+	default:
+		c.emit(event.Note{Name: "message_wasted", Reason: "superseded_answer", Quiet: true})
+	}
+}
+
 func (c *RouteController) answerRoute(r *route, a *proto.Answer) {
 	for _, x := range r.callers {
 		c.respond(x, a)
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -130,6 +130,8 @@
 	Job Job `cbor:"job"`
 	// Wait is false if the sender may only attach to a known job and nothing may be started.
 	Wait bool `cbor:"wait"`
+	// Number increases with each Forward of the sender.
+	Number uint64 `cbor:"number,omitempty"`
 }
 
 // Status is the outcome of a job.
@@ -184,6 +186,8 @@
 	Results    [][]byte     `cbor:"results,omitempty"`
 	// Starts counts the starts of the job's tasks that the owner knows of.
 	Starts int `cbor:"starts,omitempty"`
+	// Forward is the Number of the receiver's last Forward that is answered; entries of older versions leave it out.
+	Forward uint64 `cbor:"forward,omitempty"`
 }
 
 // Cancel asks the owner of a job's shard to cancel the job.
