Check in drawn sessions what callers are told of jobs that did not run

The session tests judged an answer "not_run" where it is made only, so that one which came true no longer by the time it was delivered could not show. Now nothing may have run, and nothing may start before the job is submitted again, once every copy of a job was answered "not_run"; copies that are still under way, or ended with another answer, may run by docs/API.md.

--- a/internal/trial/not_run_test.go
+++ b/internal/trial/not_run_test.go
@@ -88,3 +88,26 @@
 	c.Check(w.copies[0].answer.Run, qt.Not(qt.Equals), proto.RanNo)
 	w.heldAll(c)
 }
+
+// A former owner's answer that arrives when the new owner has started the job must not tell the caller that nothing ran.
+func TestLateAnswerOfAFormerOwnerIsNotTold(t *testing.T) {
+	c, w := session(t, 3, 1)
+	e0, a0 := w.proc("e0"), w.proc("a0")
+	a0.handle(agent.BackendLeaving{})
+	w.run(50)
+	for _, to := range []string{"e1", "e2"} {
+		w.cuts[cut{"e0", to}] = w.now + 4000
+	}
+	j := w.owned(e0, check, 3000)
+	answer := w.submit(w.proc("e1"), j)
+	w.run(50)
+	e0.handle(entry.CancelJob{Key: j.Key})
+	w.run(50)
+	a0.handle(agent.BackendAnnounced{Slots: agentSlots})
+	w.run(3890)
+	c.Assert(w.started[j.Key], qt.Equals, 1)
+	c.Assert(answer.status(), qt.Equals, proto.Status(""))
+	w.run(5000)
+	c.Check(answer.status(), qt.Equals, proto.StatusComplete)
+	w.heldAll(c)
+}
--- a/internal/trial/proc_test.go
+++ b/internal/trial/proc_test.go
@@ -253,6 +253,9 @@
 	task := fmt.Sprintf("%s/%d", a.Job, a.Index)
 	w.starts[task]++
 	w.started[a.Key]++
+	if w.notRun[a.Key] {
+		w.fault("%s starts, but its callers were told that nothing ran", task)
+	}
 	w.lastRun[p.name] = w.now
 	w.write("%s runs %s attempt %d\n", p.name, task, a.Attempt)
 	var work stand.Work
--- a/internal/trial/world_test.go
+++ b/internal/trial/world_test.go
@@ -51,12 +51,14 @@
 	fixed        bool
 	serial       int
 
-	starts   map[string]int
-	started  map[shard.Key]int
-	lastRun  map[string]clock.Millis
-	refs     map[uint64]*copyOf
-	copies   []*copyOf
-	checked  map[*proto.Answer]bool
+	starts  map[string]int
+	started map[shard.Key]int
+	lastRun map[string]clock.Millis
+	refs    map[uint64]*copyOf
+	copies  []*copyOf
+	checked map[*proto.Answer]bool
+	// notRun holds the jobs of which every copy was answered that nothing ran.
+	notRun   map[shard.Key]bool
 	applied  []entry.Applied
 	faults   []string
 	refused  int
@@ -68,7 +70,7 @@
 	return &world{
 		rng: rand.New(rand.NewPCG(seed, 9)), table: stand.NewTable(), cuts: map[cut]clock.Millis{}, starts: map[string]int{},
 		started: map[shard.Key]int{}, lastRun: map[string]clock.Millis{}, refs: map[uint64]*copyOf{},
-		checked: map[*proto.Answer]bool{}, behave: map[string]agent.Verdict{}, attempts: map[string]int{},
+		checked: map[*proto.Answer]bool{}, notRun: map[shard.Key]bool{}, behave: map[string]agent.Verdict{}, attempts: map[string]int{},
 	}
 }
 
@@ -189,6 +191,7 @@
 	w.copies = append(w.copies, c)
 	ref := uint64(len(w.copies))
 	w.refs[ref] = c
+	delete(w.notRun, job.Key)
 	w.write("caller submits %s to %s\n", job.ID, p.name)
 	p.handle(entry.Submit{Ref: ref, Job: job})
 	return c
@@ -201,6 +204,7 @@
 	}
 	c.answer = a
 	c.answered = w.now
+	w.checkTold(c)
 	w.write("%s answers %s %s %s %s\n", p.name, c.job.ID, a.Status, a.Run, a.Reason)
 	if a.Status != proto.StatusComplete {
 		if len(a.Results) > 0 {
@@ -230,6 +234,20 @@
 	}
 }
 
+// checkTold checks what a caller is told once every copy of its job has been answered that nothing ran: nothing has run
+// then, nor does any task start before the job is submitted again.
+func (w *world) checkTold(told *copyOf) {
+	for _, c := range w.copies {
+		if c.job.Key == told.job.Key && (c.answer == nil || c.answer.Run != proto.RanNo) {
+			return
+		}
+	}
+	if w.started[told.job.Key] > 0 {
+		w.fault("the callers of %s are told that nothing ran, but something did", told.job.ID)
+	}
+	w.notRun[told.job.Key] = true
+}
+
 func (w *world) write(format string, args ...any) {
 	if w.logging {
 		fmt.Fprintf(&w.log, "%6d "+format, append([]any{w.now}, args...)...)
