Confirm with an agent that a job of an id with other content did not run

A caller that submits an id with other content to an owner that is cut off and was taken over was told "other_content", "not_run", while the new owner had run the job. Of all answers "not_run" this one alone went out on the owner's own word, and also while starts of a former owner might be unknown.

It now goes the way of the others: "unknown" unless every start in the shard is known and an agent confirms that the owner is current.

Seen failing before the change: TestConflictAtAnOwnerThatWasTakenOverIsUnknown, got "not_run", and "job ... is said not to have run, but did".

--- a/internal/entry/job_controller.go
+++ b/internal/entry/job_controller.go
@@ -48,8 +48,8 @@
 	}
 	j := c.jobs[f.Job.Key]
 	if j != nil && f.Job.Digest != 0 && j.digest != f.Job.Digest {
-		c.deliver(from, &proto.Answer{
-			Key: j.key, Digest: f.Job.Digest, Status: proto.StatusRefused, Run: j.ran(), Reason: proto.ReasonConflict,
+		c.deliverChecked(from, &proto.Answer{
+			Key: j.key, Digest: f.Job.Digest, Status: proto.StatusRefused, Run: c.ran(j), Reason: proto.ReasonConflict,
 			Forward: f.Number,
 		})
 		return
@@ -200,11 +200,16 @@
 }
 
 func (c *JobController) fail(j *job, reason proto.Reason) {
-	run := j.ran()
-	if run == proto.RanNo && !c.shards.shards[j.shard].startsKnown {
-		run = proto.RanUnknown
+	c.failWith(j, reason, c.ran(j))
+}
+
+// ran reports whether any task of a job has been started; that none was is known only if every start in its shard is.
+func (c *JobController) ran(j *job) proto.Ran {
+	ran := j.ran()
+	if ran == proto.RanNo && !c.shards.shards[j.shard].startsKnown {
+		return proto.RanUnknown
 	}
-	c.failWith(j, reason, run)
+	return ran
 }
 
 // failWith ends a job as failed; if nothing ran, the answer is confirmed with an agent first.
--- a/internal/trial/not_run_test.go
+++ b/internal/trial/not_run_test.go
@@ -111,3 +111,31 @@
 	c.Check(answer.status(), qt.Equals, proto.StatusComplete)
 	w.heldAll(c)
 }
+
+// An owner that is cut off and was taken over must not say of an id with other content that it has not run.
+func TestConflictAtAnOwnerThatWasTakenOverIsUnknown(t *testing.T) {
+	c, w := session(t, 3, 1)
+	e0, e1, a0 := w.proc("e0"), w.proc("e1"), w.proc("a0")
+	a0.handle(agent.BackendLeaving{})
+	w.run(50)
+	j := w.owned(e0, check, 100)
+	w.submit(e0, j)
+	w.run(50)
+	for _, p := range []string{"e1", "e2", "a0", tableName} {
+		w.cuts[cut{"e0", p}] = w.now + 20_000
+		w.cuts[cut{p, "e0"}] = w.now + 20_000
+	}
+	a0.handle(agent.BackendAnnounced{Slots: agentSlots})
+	w.run(3000)
+	elsewhere := w.submit(e1, j)
+	w.run(1000)
+	c.Assert(elsewhere.status(), qt.Equals, proto.StatusComplete)
+	other := j
+	other.Digest++
+	there := w.submit(e0, other)
+	w.run(1000)
+	c.Assert(there.answer, qt.IsNotNil)
+	c.Check(there.answer.Reason, qt.Equals, proto.ReasonConflict)
+	c.Check(there.answer.Run, qt.Equals, proto.RanUnknown)
+	c.Check(w.faults, qt.HasLen, 0)
+}
