Drop forwards of an earlier epoch of their shard

An entry that lost a shard parked the forwards that arrived late, and started their jobs when it got the shard back within their time. Their sender had forwarded the job again meanwhile and could have been answered "not_run" by the owner in between, as the newest forward's answer: the job then ran after its caller was told that nothing had.

A forward now names the epoch of the shard in its sender's map (optional). An owner under a later epoch drops it; under an earlier one it parks it until it has learned of the epoch. An entry forwards a job again whenever the epoch changes, also if the owner is the same by the maps that it has seen, so that no job is left behind. A forward of an older version names no epoch and is handled as before.

Seen failing with Submit as it was: TestForwardOfAnEarlierEpochStartsNothing, one start for a forward of epoch 1 under epoch 3.

--- a/internal/entry/job_controller.go
+++ b/internal/entry/job_controller.go
@@ -40,12 +40,18 @@
 }
 
 // Submit handles a job that an entry forwarded: it joins a known job, admits a new one, or parks the job while this
-// entry does not own its shard.
+// entry does not own its shard under the epoch that the sender knows. A forward under an earlier epoch is dropped, because
+// its sender may have been answered by another owner since; it forwards the job again when it learns of the epoch.
 func (c *JobController) Submit(from shard.ID, f *proto.Forward) {
-	if c.maps.current == nil || c.shards.Owned(c.maps.current.ShardOf(f.Job.Key)) == nil {
+	s := c.ownedShard(f.Job.Key)
+	if s == nil || f.Epoch > s.epoch {
 		c.parked = append(c.parked, parkedForward{from: from, forward: f, until: c.now + f.Job.Budget})
 		return
 	}
+	if f.Epoch != 0 && f.Epoch < s.epoch {
+		c.emit(event.Note{Name: "message_wasted", Reason: "superseded_forward", Quiet: true})
+		return
+	}
 	j := c.jobs[f.Job.Key]
 	if j != nil && f.Job.Digest != 0 && j.digest != f.Job.Digest {
 		c.deliverChecked(from, &proto.Answer{
@@ -67,6 +73,14 @@
 	}
 }
 
+// ownedShard returns the state of a job's shard if this entry owns it, else nil.
+func (c *JobController) ownedShard(key shard.Key) *shardState {
+	if c.maps.current == nil {
+		return nil
+	}
+	return c.shards.Owned(c.maps.current.ShardOf(key))
+}
+
 // mayResubmit reports whether an answered job may be submitted again because it never ran.
 func mayResubmit(a *proto.Answer) bool {
 	return a.Run == proto.RanNo && a.Reason != proto.ReasonCancelled
--- a/internal/entry/route_controller.go
+++ b/internal/entry/route_controller.go
@@ -23,7 +23,8 @@
 type route struct {
 	key     shard.Key
 	forward proto.Forward
-	sentTo  shard.ID
+	// sentTo is the owner to which the job was forwarded last.
+	sentTo shard.Owner
 	// repeated is whether the job was forwarded more than once.
 	repeated bool
 	callers  []caller
@@ -77,11 +78,12 @@
 	if c.maps.current == nil {
 		return
 	}
-	owner := c.maps.current.Shards[c.maps.current.ShardOf(r.key)].ID
-	r.sentTo = owner
+	r.sentTo = c.maps.current.Shards[c.maps.current.ShardOf(r.key)]
+	owner := r.sentTo.ID
 	r.repeated = r.forward.Number != 0
 	c.forwards++
 	r.forward.Number = c.forwards
+	r.forward.Epoch = r.sentTo.Epoch
 	f := r.forward
 	f.Job.Budget = c.budget(r)
 	if owner == c.cfg.ID {
@@ -102,9 +104,9 @@
 // Reforward forwards again the jobs whose owner has changed or whose owner has reconnected.
 func (c *RouteController) Reforward(reconnected shard.ID) {
 	for _, r := range c.sortedRoutes() {
-		owner := c.maps.current.Shards[c.maps.current.ShardOf(r.key)].ID
-		if owner != r.sentTo || owner == reconnected {
-			c.emit(event.Note{Name: "job_passed_again", Job: r.forward.Job.ID, Peer: owner})
+		owner := c.maps.current.Shards[c.maps.current.ShardOf(r.key)]
+		if owner.ID != r.sentTo.ID || owner.Epoch != r.sentTo.Epoch || owner.ID == reconnected {
+			c.emit(event.Note{Name: "job_passed_again", Job: r.forward.Job.ID, Peer: owner.ID})
 			c.forward(r)
 		}
 	}
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -132,6 +132,8 @@
 	Wait bool `cbor:"wait"`
 	// Number increases with each Forward of the sender.
 	Number uint64 `cbor:"number,omitempty"`
+	// Epoch is the epoch of the job's shard in the sender's map; under another one the sender forwards the job again.
+	Epoch uint64 `cbor:"epoch,omitempty"`
 }
 
 // Status is the outcome of a job.
