Take a failure that is sent again as that of its own attempt

A caller was answered "task_failed" while the second attempt of its task was still to run, and then succeeded. If more attempts are allowed, the next one is sent to another agent and runs beside it.

The agent sends a failure again when its session is reopened before the acknowledgement has arrived, while the entry repeats the start of the next attempt. The two cross, and the entry took the outcome, which was made before that start arrived, as the outcome of the attempt that it had sent: it compared the agent only.

A failure of an attempt before the one that this owner sent last is now passed over. The start that was repeated brings an outcome of its own, or the agent is given up.

Seen failing before the change: TestFailureSentAgainDoesNotEndTheNextAttempt, got "failed", want "complete".

--- a/internal/entry/dispatch_controller.go
+++ b/internal/entry/dispatch_controller.go
@@ -128,6 +128,7 @@
 	t.agent = v.id
 	t.imported = false
 	t.attempt++
+	t.sentAttempt = t.attempt
 	t.tries++
 	w.job.starts++
 	c.agents.Sent(v)
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -21,6 +21,8 @@
 	state   taskState
 	agent   shard.ID
 	attempt int
+	// sentAttempt is the attempt that this owner sent last; attempt may be higher if agents report other owners' attempts.
+	sentAttempt int
 	// tries counts the attempts that may have been started.
 	tries int
 	// refusals counts starts that agents refused, for instance because an urgent task found no free slot.
--- a/internal/entry/job_outcomes.go
+++ b/internal/entry/job_outcomes.go
@@ -80,6 +80,9 @@
 		return false
 	}
 	expected := t.state == taskSent && baseID(t.agent) == baseID(from)
+	if expected && o.State == proto.StateFailed && o.Attempt < t.sentAttempt {
+		return false
+	}
 	if !expected && o.MayHaveRunBefore() {
 		j.noteRan(proto.RanUnknown)
 	}
