--- a/internal/runs/fence_controller.go
+++ b/internal/runs/fence_controller.go
@@ -1,8 +1,6 @@
 package runs
 
-import (
-	"corianderspur.example/corianderspur/internal/event"
-)
+import "corianderspur.example/corianderspur/internal/event"
 
 const (
 	// fenceStep is how much a token is raised first; it doubles each time. Tokens count 1/1024 ms, so this is about a second.
@@ -19,17 +17,16 @@
 	step  uint64
 	// accepted says that the backend server has accepted the token.
 	accepted bool
-	// instance and born name the life of the backend server that the token was first used for.
-	instance string
-	born     int64
+	// usedIn is the life of the backend server that the token was first used for.
+	usedIn life
 }
 
 // startLife raises the token by one in each new life of the backend server, which has seen none of the tokens of before.
 func (f *fence) startLife(in *Instance) {
-	if f.instance == in.ID && f.born == in.Born {
+	if f.usedIn == in.life() {
 		return
 	}
-	f.instance, f.born = in.ID, in.Born
+	f.usedIn = in.life()
 	f.token = min(f.token+1, maxToken)
 }
 
