--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -47,14 +47,14 @@
 	Seq      uint64
 }
 
-// life identifies an incarnation of the backend server, which may start again under the id that it had.
-type life struct {
+// incarnationID identifies an incarnation of the backend server, which may start again under the id that it had.
+type incarnationID struct {
 	id   string
 	born int64
 }
 
-func (in *Instance) life() life {
-	return life{id: in.ID, born: in.Born}
+func (in *Instance) incarnation() incarnationID {
+	return incarnationID{id: in.ID, born: in.Born}
 }
 
 // Announced is a heartbeat of the backend server.
@@ -75,7 +75,7 @@
 	// Token is the fencing token of the agent.
 	Token uint64
 	Spec  string
-	// Born names the life of the instance whose clock the lease is counted on.
+	// Born names the incarnation of the instance whose clock the lease is counted on.
 	Born int64
 	// At is when the start was decided. Lease is how long all runs at the backend server may continue from then, in milliseconds; a
 	// call that is made later gets no longer lease.
@@ -136,7 +136,7 @@
 	Instance string
 	// Token is the fencing token of the agent.
 	Token uint64
-	// Born names the life of the instance whose clock the lease is counted on.
+	// Born names the incarnation of the instance whose clock the lease is counted on.
 	Born int64
 	// At is when the poll was decided. Lease is how long all runs at the backend server may continue from then, in milliseconds; zero
 	// renews nothing.
@@ -273,9 +273,9 @@
 	// leaving says that the backend server has announced its end, while its runs may go on.
 	leaving bool
 	// departed holds the incarnations that have announced their end; their late heartbeats are ignored.
-	departed map[life]bool
+	departed map[incarnationID]bool
 	// denied is the latest incarnation that was followed by one with an earlier time of start under the same id.
-	denied life
+	denied incarnationID
 	// olderBorn is the time of start in the last answered polls if it is earlier than the known one, and olderAnswers their number.
 	olderBorn    int64
 	olderAnswers int
@@ -329,7 +329,7 @@
 		cfg.IdleSilence = cfg.Silence
 	}
 	return &Machine{
-		cfg: cfg, fence: fence{token: cfg.Token, step: fenceStep}, departed: map[life]bool{}, peers: map[shard.ID]*peer{}, runs: map[string]*run{},
+		cfg: cfg, fence: fence{token: cfg.Token, step: fenceStep}, departed: map[incarnationID]bool{}, peers: map[shard.ID]*peer{}, runs: map[string]*run{},
 		orphans: map[string]clock.Millis{},
 	}
 }
--- a/internal/runs/fence_controller.go
+++ b/internal/runs/fence_controller.go
@@ -10,23 +10,23 @@
 )
 
 // fence holds the fencing token of this incarnation of the agent. Once the backend server has answered a list of runs under it,
-// nothing starts there that an earlier incarnation has ordered, or this one from an earlier life of the backend server, since it
+// nothing starts there that an earlier incarnation has ordered, or this one from an earlier incarnation of the backend server, since it
 // does nothing for a lower token.
 type fence struct {
 	token uint64
 	step  uint64
 	// accepted says that the backend server has accepted the token.
 	accepted bool
-	// usedIn is the life of the backend server that the token was first used for.
-	usedIn life
+	// usedIn is the incarnation of the backend server that the token was first used for.
+	usedIn incarnationID
 }
 
-// startLife raises the token by one in each new life of the backend server, which has seen none of the tokens of before.
-func (f *fence) startLife(in *Instance) {
-	if f.usedIn == in.life() {
+// startIncarnation raises the token by one in each new incarnation of the backend server, which has seen none of the tokens of before.
+func (f *fence) startIncarnation(in *Instance) {
+	if f.usedIn == in.incarnation() {
 		return
 	}
-	f.usedIn = in.life()
+	f.usedIn = in.incarnation()
 	f.token = min(f.token+1, maxToken)
 }
 
--- a/internal/runs/fence_controller_test.go
+++ b/internal/runs/fence_controller_test.go
@@ -56,7 +56,7 @@
 	qt.Check(t, a.m.runs, qt.HasLen, 0)
 }
 
-// The backend server has started again under its id and knows no token: orders to its life before must be late there.
+// The backend server has started again under its id and knows no token: orders to its incarnation before must be late there.
 func TestTokenRisesWithEachLifeOfTheBackendServer(t *testing.T) {
 	a := fencedAgent(t, 1000)
 	before := a.m.poll.Token
--- a/internal/runs/incarnation_controller.go
+++ b/internal/runs/incarnation_controller.go
@@ -9,7 +9,7 @@
 func (m *Machine) handleAnnounced(in Instance) {
 	cur := m.instance
 	switch {
-	case m.departed[in.life()] || in.Total.CPU <= 0:
+	case m.departed[in.incarnation()] || in.Total.CPU <= 0:
 		return
 	case cur == nil:
 		m.adoptInstance(in)
@@ -79,7 +79,7 @@
 		m.verifyIncarnation()
 		return false
 	}
-	if in := m.instance.life(); in.id != m.denied.id || in.born > m.denied.born {
+	if in := m.instance.incarnation(); in.id != m.denied.id || in.born > m.denied.born {
 		m.denied = in
 	}
 	return true
@@ -150,7 +150,7 @@
 	if m.instance == nil || m.instance.ID != id {
 		return
 	}
-	m.departed[m.instance.life()] = true
+	m.departed[m.instance.incarnation()] = true
 	m.note(event.Note{Name: "backend_server_left", Instance: id, Count: len(m.runs)})
 	m.leaving = true
 	m.rejectAllQueued()
--- a/internal/runs/lease_controller.go
+++ b/internal/runs/lease_controller.go
@@ -30,7 +30,7 @@
 		return
 	}
 	m.lastPoll++
-	m.fence.startLife(m.instance)
+	m.fence.startIncarnation(m.instance)
 	poll := Poll{
 		Instance: m.instance.ID, Token: m.fence.token, Born: m.instance.Born, At: m.now, Lease: m.cfg.Lease, AckedEnd: m.lastEndSeen,
 		Wait: m.cfg.PollWait, Number: m.lastPoll, Timeout: m.cfg.PollWait + m.cfg.OrderTimeout,
@@ -128,7 +128,7 @@
 		m.changeIncarnation(ev.Born)
 	}
 	if poll.Born != m.instance.Born {
-		// The next poll uses the token of the new life and lists the same again.
+		// The next poll uses the token of the new incarnation and lists the same again.
 		return
 	}
 	m.lastEndAcked = max(m.lastEndAcked, poll.AckedEnd)
--- a/internal/runs/lease_controller_test.go
+++ b/internal/runs/lease_controller_test.go
@@ -34,7 +34,7 @@
 	return a
 }
 
-// Case 3 of the review: runs that a restarted backend server had confirmed counted as those of the life before and started elsewhere.
+// Case 3 of the review: runs that a restarted backend server had confirmed counted as those of the incarnation before and started elsewhere.
 func TestRunOfAnIncarnationThatIsNotNamedYetGoesOn(t *testing.T) {
 	tests := map[string]func(a *agentTest){
 		"poll before heartbeat": func(a *agentTest) {
@@ -75,7 +75,7 @@
 	qt.Assert(t, a.m.runs["before.0.0.0"], qt.IsNotNil)
 	a.begin("e2/1", "after", 1000)
 
-	// The poll was sent to the life before, under a token that still lets its orders start.
+	// The poll was sent to the incarnation before, under a token that still lets its orders start.
 	a.answerPollAs(2)
 	qt.Check(t, a.m.used.CPU, qt.Equals, int64(2000))
 	a.confirmUnnamed("after")
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -91,8 +91,9 @@
 
 // accepting reports whether new tasks are accepted.
 func (m *Machine) accepting() bool {
-	return m.instance != nil && !m.unannounced && !m.instance.Draining && !m.leaving && m.settled && !m.lapsing && !m.stopping && m.now >= m.backoffUntil &&
-		m.health.accepting(len(m.runs))
+	in := m.instance
+	known := in != nil && !m.unannounced && !in.Draining && !m.leaving && m.settled
+	return known && !m.lapsing && !m.stopping && m.now >= m.backoffUntil && m.health.accepting(len(m.runs))
 }
 
 func (m *Machine) markAllDirty() {
