--- a/internal/disp/proof.go
+++ b/internal/disp/proof.go
@@ -17,7 +17,7 @@
 	notInInventory = proof{name: "not_in_inventory"}
 	// leaseLapsed: every lease under which the run could be at work has lapsed.
 	leaseLapsed = proof{name: "lease_lapsed"}
-	// agentRestarted: the agent's next incarnation has stopped what it found.
+	// agentRestarted: the agent's next incarnation has stopped what it found, and its fencing token keeps the rest from starting.
 	agentRestarted = proof{name: "agent_restarted"}
 )
 
