Count a task as finished in the emulator only when a run of it is done

The check of whole answers took any end of a run, also a stop or a crash, for a finished task, so that an answer given too early could pass.

--- a/internal/emul/check.go
+++ b/internal/emul/check.go
@@ -42,9 +42,9 @@
 
 const jobIDLen = 16
 
-func (c *checker) runEnded(agent, task string) {
+func (c *checker) runEnded(agent, task string, done bool) {
 	delete(c.runningAt[task], agent)
-	c.finished[task] = true
+	c.finished[task] = c.finished[task] || done
 }
 
 // jobAnswered checks that every task of a job that is answered as complete has finished, and that no task of a job that
--- a/internal/emul/runner.go
+++ b/internal/emul/runner.go
@@ -102,7 +102,7 @@
 	delete(r.runs, run.task)
 	r.lastEnd++
 	r.ended = append(r.ended, runs.Ended{N: r.lastEnd, Task: run.task, Run: run.number, How: how, Lapsed: lapsed})
-	r.world.checker.runEnded(r.agent, run.task)
+	r.world.checker.runEnded(r.agent, run.task, how == proto.EndDone)
 }
 
 func (r *backend) renewLease(until clock.Millis) {
@@ -196,7 +196,7 @@
 func (r *backend) crash() {
 	r.advance()
 	for _, task := range sortedKeys(r.runs) {
-		r.world.checker.runEnded(r.agent, task)
+		r.world.checker.runEnded(r.agent, task, false)
 	}
 	r.up = false
 	r.runs = map[string]*activeRun{}
