--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -47,14 +47,15 @@
 	Seq      uint64
 }
 
-// incarnationID identifies an incarnation of the backend server, which may start again under the id that it had.
-type incarnationID struct {
-	id   string
-	born int64
+// Incarnation identifies an incarnation of the backend server, which may start again under the id that it had.
+type Incarnation struct {
+	ID   string
+	Born int64
 }
 
-func (in *Instance) incarnation() incarnationID {
-	return incarnationID{id: in.ID, born: in.Born}
+// Incarnation returns the incarnation that the instance describes.
+func (in *Instance) Incarnation() Incarnation {
+	return Incarnation{ID: in.ID, Born: in.Born}
 }
 
 // Announced is a heartbeat of the backend server.
@@ -273,9 +274,9 @@
 	// leaving says that the backend server has announced its end, while its runs may go on.
 	leaving bool
 	// departed holds the incarnations that have announced their end; their late heartbeats are ignored.
-	departed map[incarnationID]bool
+	departed map[Incarnation]bool
 	// denied is the latest incarnation that was followed by one with an earlier time of start under the same id.
-	denied incarnationID
+	denied Incarnation
 	// olderBorn is the time of start in the last answered polls if it is earlier than the known one, and olderAnswers their number.
 	olderBorn    int64
 	olderAnswers int
@@ -329,7 +330,7 @@
 		cfg.IdleSilence = cfg.Silence
 	}
 	return &Machine{
-		cfg: cfg, fence: fence{token: cfg.Token, step: fenceStep}, departed: map[incarnationID]bool{}, peers: map[shard.ID]*peer{}, runs: map[string]*run{},
+		cfg: cfg, fence: fence{token: cfg.Token, step: fenceStep}, departed: map[Incarnation]bool{}, peers: map[shard.ID]*peer{}, runs: map[string]*run{},
 		orphans: map[string]clock.Millis{},
 	}
 }
--- a/internal/runs/fence_controller.go
+++ b/internal/runs/fence_controller.go
@@ -18,15 +18,15 @@
 	// accepted says that the backend server has accepted the token.
 	accepted bool
 	// usedIn is the incarnation of the backend server that the token was first used for.
-	usedIn incarnationID
+	usedIn Incarnation
 }
 
 // startIncarnation raises the token by one in each new incarnation of the backend server, which has seen none of the tokens of before.
 func (f *fence) startIncarnation(in *Instance) {
-	if f.usedIn == in.incarnation() {
+	if f.usedIn == in.Incarnation() {
 		return
 	}
-	f.usedIn = in.incarnation()
+	f.usedIn = in.Incarnation()
 	f.token = min(f.token+1, maxToken)
 }
 
--- a/internal/runs/incarnation_controller.go
+++ b/internal/runs/incarnation_controller.go
@@ -9,7 +9,7 @@
 func (m *Machine) handleAnnounced(in Instance) {
 	cur := m.instance
 	switch {
-	case m.departed[in.incarnation()] || in.Total.CPU <= 0:
+	case m.departed[in.Incarnation()] || in.Total.CPU <= 0:
 		return
 	case cur == nil:
 		m.adoptInstance(in)
@@ -79,7 +79,7 @@
 		m.verifyIncarnation()
 		return false
 	}
-	if in := m.instance.incarnation(); in.id != m.denied.id || in.born > m.denied.born {
+	if in := m.instance.Incarnation(); in.ID != m.denied.ID || in.Born > m.denied.Born {
 		m.denied = in
 	}
 	return true
@@ -87,7 +87,7 @@
 
 // isDenied reports whether a heartbeat may be a late one of an incarnation that was followed by one with an earlier time of start.
 func (m *Machine) isDenied(in Instance) bool {
-	return in.ID == m.denied.id && in.Born <= m.denied.born
+	return in.ID == m.denied.ID && in.Born <= m.denied.Born
 }
 
 // verifyIncarnation makes a new poll decide which incarnation of the backend server is there; nothing is accepted until then.
@@ -150,7 +150,7 @@
 	if m.instance == nil || m.instance.ID != id {
 		return
 	}
-	m.departed[m.instance.incarnation()] = true
+	m.departed[m.instance.Incarnation()] = true
 	m.note(event.Note{Name: "backend_server_left", Instance: id, Count: len(m.runs)})
 	m.leaving = true
 	m.rejectAllQueued()
