Let a session that has just begun give its dispatcher no authority

What callers could see: a task at work on two backend servers at once. An agent whose answer to a new session did not reach the entry let the runs of that entry go on, while the entry, which knew of no session, started the tasks elsewhere.

Cause: the beginning of a session counted as a sign of life of the dispatcher, like a stamp. A hello that was under way for long renewed leases of a dispatcher that had given up the runs.

Evidence: TestSessionWithoutAStampLetsNoRunGoOn failed before.

Why this works: authority counts from stamps alone, which say when the dispatcher sent them. The beginning of a session still counts for the time after which a silent session is closed. A session that came back within the time for that has a stamp one message later.

--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -239,7 +239,10 @@
 	// time offsetAt.
 	offset      clock.Millis
 	offsetAt    clock.Millis
-	lastHeard   clock.Millis
+	// lastHeard is when the dispatcher sent its newest stamp, on this clock: its authority counts from it.
+	lastHeard clock.Millis
+	// upAt is when the session began, downAt when it ended.
+	upAt        clock.Millis
 	downAt      clock.Millis
 	lastStamp   clock.Millis
 	lastBegin   uint64
--- a/internal/runs/peer_controller.go
+++ b/internal/runs/peer_controller.go
@@ -32,7 +32,7 @@
 		m.peers[ev.Peer] = p
 	}
 	p.up = true
-	p.lastHeard = m.now
+	p.upAt = m.now
 	p.offset = unknownOffset
 	p.lastBegin = 0
 	p.lastCancel = 0
@@ -67,19 +67,17 @@
 // checkPeer drops the session of a dispatcher that is silent for too long, stops its runs once its authority has lapsed, and
 // forgets it after peerRetention without a session if it has no runs.
 func (m *Machine) checkPeer(p *peer) {
-	if p.up && m.now-p.lastHeard <= m.silenceLimit(p) {
-		return
-	}
-	if p.up {
+	if p.up && m.now-max(p.lastHeard, p.upAt) > m.silenceLimit(p) {
 		m.note(event.Note{Name: "dispatcher_silent", Peer: p.id, Took: m.now - p.lastHeard, Count: m.runCount(p)})
 		p.up = false
 		p.downAt = m.now
 		m.emit(CloseSession{Peer: p.id})
 	}
-	if m.now-p.lastHeard > m.cfg.Silence || m.now-p.downAt > m.cfg.Reattach {
+	// A session that has just begun gives no authority: its dispatcher may not know of it.
+	if m.now-p.lastHeard > m.cfg.Silence || (!p.up && m.now-p.downAt > m.cfg.Reattach) {
 		m.haltRunsOf(p)
 	}
-	if m.now-p.downAt > peerRetention && m.runCount(p) == 0 {
+	if !p.up && m.now-p.downAt > peerRetention && m.runCount(p) == 0 {
 		delete(m.peers, p.id)
 	}
 }
--- a/internal/runs/peer_controller_test.go
+++ b/internal/runs/peer_controller_test.go
@@ -32,3 +32,20 @@
 	a.handle(event.SessionUp{Peer: "e1/1"})
 	qt.Check(t, a.reportedEnds("e1/1"), qt.DeepEquals, []proto.EndReason{proto.EndDone})
 }
+
+// A session that only the agent knows of must not let the runs of its dispatcher go on, which start elsewhere.
+func TestSessionWithoutAStampLetsNoRunGoOn(t *testing.T) {
+	a := newAgentTest(t)
+	a.begin("e1/1", "j1", 1000)
+	a.confirmStart("j1")
+	a.advance(100)
+	a.handle(event.SessionDown{Peer: "e1/1"})
+	a.advance(100)
+	a.handle(event.SessionUp{Peer: "e1/1"})
+	a.answerPoll(Running{Task: "j1.0.0.0", Run: 1})
+	a.advance(a.m.cfg.Silence - 200)
+	qt.Assert(t, a.m.runs["j1.0.0.0"].phase, qt.Equals, running)
+	a.advance(10)
+	qt.Check(t, actions[HaltRun](a), qt.HasLen, 1)
+	qt.Check(t, a.m.mayRenew(), qt.IsFalse)
+}
