Give tasks only to agents that notice how old an order is

What callers could see: a task at work on two backend servers at once. The first messages of a new session were held up on their way to the agent; it carried the order behind them out although its entry had given the task up and started it elsewhere.

Cause: an agent measures the age of orders against its quickest message, and began anew with each session. If the first messages of a session were held up, a delay of up to a second passed as none, and the lease was counted from the arrival.

Change: the agent keeps the difference of the clocks for as long as it knows the entry. The entry measures how soon the echo of a stamp comes back, which bounds the delay that the agent may take for none, with the agent's allowance for drift. The agent answers the first stamp of an entry at once, so that a new session is used one round trip later.

Why this works: an agent that has seen a stamp s takes later orders for at most as much younger as that message was under way, which is less than the time until its echo came. Authority then ends at the latest at loss + echo + silence + lease.

--- a/internal/disp/agent_controller.go
+++ b/internal/disp/agent_controller.go
@@ -57,7 +57,7 @@
 // markLost marks the tasks sent to an agent as lost until the agent reconnects or all of its leases have lapsed.
 func (m *Machine) markLost(v *agentView) {
 	// The agent stops the runs after Silence; if the agent dies meanwhile, the backend server stops them after the lease.
-	lapseAt := m.now + m.cfg.Silence + m.cfg.Lease + m.cfg.Lease/clockSlackDivisor
+	lapseAt := m.now + v.echo.bound(m.now) + m.cfg.Silence + m.cfg.Lease + m.cfg.Lease/clockSlackDivisor
 	for _, id := range m.jobIDs() {
 		j := m.jobs[id]
 		for _, t := range j.tasks {
@@ -178,7 +178,9 @@
 		return
 	}
 	v.lastReport = m.now
-	mayFit := r.Accepting && (!v.accepting || r.Free.CPU > v.free.CPU || r.Free.MemMB > v.free.MemMB || len(r.Ends) > 0)
+	wasPrompt := v.echo.isPrompt(m.now)
+	v.echo.observe(m.now, r.Echo)
+	mayFit := r.Accepting && (!wasPrompt || !v.accepting || r.Free.CPU > v.free.CPU || r.Free.MemMB > v.free.MemMB || len(r.Ends) > 0)
 	v.free, v.accepting, v.settled, v.ackedSeq, v.pace = r.Free, r.Accepting, r.Settled, r.LastBegin, r.Pace
 	if r.Facts != nil {
 		v.facts = *r.Facts
@@ -280,5 +282,5 @@
 
 // usable reports whether tasks of a service may be sent to the agent.
 func (m *Machine) usable(v *agentView, service string) bool {
-	return v.attached && !v.unchosen && v.accepting && v.facts.Service == service && m.now >= v.backoffUntil
+	return v.attached && !v.unchosen && v.accepting && v.echo.isPrompt(m.now) && v.facts.Service == service && m.now >= v.backoffUntil
 }
--- a/internal/disp/bench_test.go
+++ b/internal/disp/bench_test.go
@@ -28,7 +28,7 @@
 		id := shard.ID(fmt.Sprintf("a%d/1", i))
 		m.Handle(now, event.SessionUp{Peer: id, Role: proto.RoleAgent})
 		m.Handle(now, event.Received{From: id, Message: proto.Message{Report: &proto.Report{
-			Free: total, Accepting: true, Settled: true, Facts: &proto.Facts{Agent: string(id), Service: "s", Total: total},
+			Echo: now, Free: total, Accepting: true, Settled: true, Facts: &proto.Facts{Agent: string(id), Service: "s", Total: total},
 			Inventory: &proto.Inventory{},
 		}}})
 	}
@@ -48,7 +48,7 @@
 			if !ok {
 				continue
 			}
-			r := proto.Report{Free: total, Accepting: true, Settled: true}
+			r := proto.Report{Echo: now, Free: total, Accepting: true, Settled: true}
 			for _, begin := range s.Message.Orders.Begins {
 				seqs[s.To] = begin.Seq
 				for _, t := range begin.Tasks {
--- a/internal/disp/cancel_controller_test.go
+++ b/internal/disp/cancel_controller_test.go
@@ -42,7 +42,7 @@
 	r := e.reports[from]
 	r.Facts, r.Inventory, r.Ends = nil, nil, nil
 	r.Cancels, r.Cancelled = cancels, cancelled
-	e.do(event.Received{From: from, Message: proto.Message{Report: &r}})
+	e.receive(from, r)
 }
 
 var unknownID = jobOf(9, 1, 1000).ID
--- a/internal/disp/common.go
+++ b/internal/disp/common.go
@@ -190,6 +190,7 @@
 	ackedSeq   uint64
 	inFlight   []inFlightTask
 	lastEnd    uint64
+	echo       echo
 	// pace is the agent's measure of its backend server's speed; zero is unknown.
 	pace        float64
 	failureRate float64
--- a/internal/disp/inventory_test.go
+++ b/internal/disp/inventory_test.go
@@ -14,7 +14,7 @@
 func (e *entryTest) replaced(id shard.ID, lastBegin uint64) {
 	r := e.reports[id]
 	r.LastBegin, r.Inventory, r.Accepting, r.Settled = lastBegin, &proto.Inventory{}, false, false
-	e.do(event.Received{From: id, Message: proto.Message{Report: &r}})
+	e.receive(id, r)
 }
 
 // A task whose order is not in the list of runs because it is under way must not be sent to another agent.
--- a/internal/disp/machine_test.go
+++ b/internal/disp/machine_test.go
@@ -20,6 +20,8 @@
 	now     clock.Millis
 	out     []event.Action
 	reports map[shard.ID]proto.Report
+	// echoDelay is how old the stamps are that agents echo.
+	echoDelay clock.Millis
 }
 
 func newEntryTest(t *testing.T, agents ...shard.ID) *entryTest {
@@ -47,6 +49,12 @@
 
 func (e *entryTest) report(id shard.ID, r proto.Report) {
 	e.reports[id] = r
+	e.receive(id, r)
+}
+
+// receive delivers a report that echoes a stamp of this moment, unless echoDelay says otherwise.
+func (e *entryTest) receive(id shard.ID, r proto.Report) {
+	r.Echo = e.now - e.echoDelay
 	e.do(event.Received{From: id, Message: proto.Message{Report: &r}})
 }
 
@@ -57,7 +65,7 @@
 		for _, id := range alive {
 			r := e.reports[id]
 			r.Facts, r.Inventory, r.Ends = nil, nil, nil
-			e.do(event.Received{From: id, Message: proto.Message{Report: &r}})
+			e.receive(id, r)
 			replies = append(replies, e.replies()...)
 		}
 		e.do(event.Tick{})
@@ -105,7 +113,7 @@
 	r.Facts, r.Inventory = nil, nil
 	r.LastBegin = 1
 	r.Ends = []proto.End{{N: 1, Task: task, Run: 1, How: how, TookMS: 100}}
-	e.do(event.Received{From: id, Message: proto.Message{Report: &r}})
+	e.receive(id, r)
 }
 
 // taskName returns the name of a task of job 1.
@@ -195,7 +203,7 @@
 	r := e.reports[second]
 	r.Facts, r.Inventory = nil, nil
 	r.Ends = []proto.End{{N: 1, Task: taskName(0), Run: 2, How: proto.EndFailed}}
-	e.do(event.Received{From: second, Message: proto.Message{Report: &r}})
+	e.receive(second, r)
 	qt.Assert(t, e.replies()[0].Result, qt.Equals, Failed)
 }
 
--- a/internal/emul/drawn_test.go
+++ b/internal/emul/drawn_test.go
@@ -44,6 +44,31 @@
 	})
 }
 
+// The first messages of sessions are held up, or don't reach the entry at all, beside resets, lost machines and stops without an answer.
+func TestDrawnFaultsBesideDelayedSessions(t *testing.T) {
+	t.Parallel()
+	for i := range uint64(*seeds) {
+		cfg := DefaultConfig(*firstSeed + i)
+		cfg.DelayedSessions, cfg.HalfOpenSessions = 0.5, 0.3
+		w := New(cfg)
+		w.Verbose = *trace
+		w.Run(2 * clock.Second)
+		w.scheduleLongJobs(sessionLength)
+		w.scheduleResets(sessionLength)
+		w.scheduleKills(sessionLength)
+		if i%2 == 0 {
+			w.scheduleLateOrders(sessionLength)
+		}
+		w.Run(sessionLength + 12*clock.Second)
+		if len(w.Violations()) > 0 {
+			t.Errorf("seed %d: %v", *firstSeed+i, w.Violations()[0])
+			if *trace {
+				t.Log(w.Log.String())
+			}
+		}
+	}
+}
+
 func checkDrawn(t *testing.T, config func(seed uint64) Config) {
 	results := map[disp.Result]int{}
 	for i := range uint64(*seeds) {
--- a/internal/emul/faults.go
+++ b/internal/emul/faults.go
@@ -41,6 +41,24 @@
 	next()
 }
 
+// scheduleLongJobs submits jobs whose tasks outlast the leases of a lost dispatcher.
+func (w *World) scheduleLongJobs(length clock.Millis) {
+	number := 0
+	var next func()
+	next = func() {
+		if w.now > length {
+			return
+		}
+		number++
+		w.Submit(number, Tasks{
+			Count: 1 + w.rng.IntN(2), Need: room.Resources{CPU: 1000, MemMB: 64}, Work: clock.Millis(1000 + w.rng.IntN(2000)), Estimate: 1500,
+			Patience: 6 * clock.Second,
+		})
+		w.after(clock.Millis(50+w.rng.IntN(200)), next)
+	}
+	next()
+}
+
 func (w *World) scheduleFaults(length clock.Millis) {
 	var next func()
 	next = func() {
@@ -66,6 +84,35 @@
 	w.after(500, next)
 }
 
+// scheduleResets resets all sessions of one entry after another.
+func (w *World) scheduleResets(length clock.Millis) {
+	var next func()
+	next = func() {
+		if w.now > length {
+			return
+		}
+		e := w.entries[w.rng.IntN(len(w.entries))]
+		for _, s := range w.sessionsOf(e) {
+			s.close(e)
+		}
+		w.after(clock.Millis(100+w.rng.IntN(1500)), next)
+	}
+	w.after(500, next)
+}
+
+// scheduleKills ends one agent after another without its dispatchers hearing of it.
+func (w *World) scheduleKills(length clock.Millis) {
+	var next func()
+	next = func() {
+		if w.now > length {
+			return
+		}
+		w.Kill(w.agents[w.rng.IntN(len(w.agents))], true, clock.Millis(500+w.rng.IntN(2000)))
+		w.after(clock.Millis(200+w.rng.IntN(1500)), next)
+	}
+	w.after(500, next)
+}
+
 // injectFault injects one random fault.
 func (w *World) injectFault() {
 	e := w.entries[w.rng.IntN(len(w.entries))]
--- a/internal/emul/lease_test.go
+++ b/internal/emul/lease_test.go
@@ -71,3 +71,30 @@
 		qt.Check(t, c.Answer, qt.Equals, disp.Completed, qt.Commentf("seed %d", seed+1))
 	}
 }
+
+// The first messages of sessions are held up on their way to an agent, which dies once it has started the run: the lease must be counted
+// from the order.
+func TestOrderBehindADelayedFirstMessageRunsOnce(t *testing.T) {
+	const delay, agents = 905, 2
+	for seed := range uint64(20) {
+		cfg := DefaultConfig(seed + 1)
+		cfg.Entries, cfg.Agents = 1, agents
+		w := New(cfg)
+		w.Verbose = true
+		for _, a := range w.agents {
+			w.cutFor(w.entries[0], a, delay, true, false)
+		}
+		w.Run(5)
+		w.Submit(1, Tasks{Count: 1, Need: room.Resources{CPU: 1000}, Work: 6 * clock.Second, Estimate: 1000, Patience: 10 * clock.Second})
+		for w.now < 2*delay {
+			w.Run(w.now + 1)
+			for _, a := range w.agents {
+				if len(a.backend.runs) > 0 {
+					w.Kill(a, true, 5*clock.Second)
+				}
+			}
+		}
+		w.Run(w.now + 6*clock.Second)
+		qt.Assert(t, w.Violations(), qt.HasLen, 0, qt.Commentf("seed %d\n%s", seed+1, w.Log.String()))
+	}
+}
--- a/internal/emul/proc.go
+++ b/internal/emul/proc.go
@@ -101,6 +101,8 @@
 	entry, agent     *proc
 	entryID, agentID shard.ID
 	entryUp, agentUp bool
+	// openUntil is how long the entry waits for the answer of the agent, if it has not arrived.
+	openUntil clock.Millis
 	// toEntry and toAgent hold the messages that are in flight or wait for a cut to heal.
 	toEntry, toAgent []sentMessage
 }
--- a/internal/emul/world.go
+++ b/internal/emul/world.go
@@ -25,6 +25,8 @@
 	resendAfter = 1300 * clock.Millis(1)
 	// dialInterval is the time between attempts to open missing sessions, in milliseconds.
 	dialInterval = 20 * clock.Millis(1)
+	// openTimeout is how long an entry waits for an agent's answer to a new session, in milliseconds.
+	openTimeout = 300 * clock.Millis(1)
 )
 
 // Config configures a simulated deployment.
@@ -49,6 +51,10 @@
 	HoldMost clock.Millis
 	// Latency is the one-way delay of a message between an entry and an agent, in milliseconds.
 	Latency clock.Millis
+	// DelayedSessions is the fraction of new sessions whose first messages to the agent are held up, by up to 1.2 s.
+	DelayedSessions float64
+	// HalfOpenSessions is the fraction of new sessions that are open only at the agent, as its answer doesn't reach the entry.
+	HalfOpenSessions float64
 	// ReplaceEvery is the mean time between replacements of backend servers in a drawn session, in milliseconds; zero draws none.
 	ReplaceEvery clock.Millis
 }
@@ -273,18 +279,32 @@
 		return
 	}
 	key := [2]string{e.name, a.name}
-	if s := w.sessions[key]; s != nil && s.entryUp {
+	if s := w.sessions[key]; s != nil && (s.entryUp || w.now < s.openUntil) {
 		return
 	}
 	s := &session{world: w, entry: e, agent: a, entryUp: true, agentUp: true}
+	if w.cfg.HalfOpenSessions > 0 && w.rng.Float64() < w.cfg.HalfOpenSessions {
+		s.entryUp, s.openUntil = false, w.now+openTimeout
+		w.after(openTimeout, func() { s.notifyClosed(e, a) })
+	}
 	if old := w.sessions[key]; old != nil && old.agentUp {
 		old.agentUp = false
 		a.push(event.SessionDown{Peer: old.entryID})
 	}
 	s.entryID, s.agentID = e.id, a.id
 	w.sessions[key] = s
-	e.push(event.SessionUp{Peer: a.id, Role: "agent"})
+	if s.entryUp {
+		e.push(event.SessionUp{Peer: a.id, Role: "agent"})
+	}
 	a.push(event.SessionUp{Peer: e.id, Role: "entry"})
+	w.delaySession(e, a)
+}
+
+// delaySession holds up the messages to the agent from the first one of a session on, in a share of the sessions.
+func (w *World) delaySession(e, a *proc) {
+	if w.cfg.DelayedSessions > 0 && w.rng.Float64() < w.cfg.DelayedSessions {
+		w.cutFor(e, a, clock.Millis(1+w.rng.IntN(1200)), true, false)
+	}
 }
 
 func (w *World) isCut(from, to string) bool {
--- a/internal/node/dispatcher_test.go
+++ b/internal/node/dispatcher_test.go
@@ -191,6 +191,8 @@
 	d := newTestDispatcher(t)
 	var sent []proto.Message
 	var notes []event.Note
+	const now = 100
+	d.loop.clock = &fakeClock{now: now}
 	d.loop.take = nil
 	d.loop.perform = func(a event.Action) {
 		switch a := a.(type) {
@@ -204,7 +206,7 @@
 	d.loop.handleAll([]event.Event{
 		event.SessionUp{Peer: "a/1", Role: proto.RoleAgent},
 		event.Received{From: "a/1", Message: proto.Message{Report: &proto.Report{
-			Free: total, Accepting: true, Settled: true, Facts: &proto.Facts{Agent: "a/1", Service: "s", Total: total}, Inventory: &proto.Inventory{},
+			Echo: now, Free: total, Accepting: true, Settled: true, Facts: &proto.Facts{Agent: "a/1", Service: "s", Total: total}, Inventory: &proto.Inventory{},
 		}}},
 	})
 	sent, notes = nil, nil
@@ -221,7 +223,8 @@
 
 	ticket, _ := d.ticket()
 	d.loop.handleAll([]event.Event{disp.Submit{Ticket: ticket, Job: testJob}})
-	qt.Check(t, sent, qt.HasLen, 1)
+	qt.Assert(t, sent, qt.HasLen, 1)
+	qt.Check(t, sent[0].Orders.Begins, qt.HasLen, 1)
 }
 
 // A cancel that waited while the process was suspended was answered as if its job did not exist.
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -237,8 +237,8 @@
 	up bool
 	// offset is the smallest difference seen between this clock and the dispatcher's, raised for clock drift up to the
 	// time offsetAt.
-	offset      clock.Millis
-	offsetAt    clock.Millis
+	offset   clock.Millis
+	offsetAt clock.Millis
 	// lastHeard is when the dispatcher sent its newest stamp, on this clock: its authority counts from it.
 	lastHeard clock.Millis
 	// upAt is when the session began, downAt when it ended.
--- a/internal/runs/peer_controller.go
+++ b/internal/runs/peer_controller.go
@@ -28,12 +28,11 @@
 func (m *Machine) handleSessionUp(ev event.SessionUp) {
 	p := m.peers[ev.Peer]
 	if p == nil {
-		p = &peer{id: ev.Peer}
+		p = &peer{id: ev.Peer, offset: unknownOffset}
 		m.peers[ev.Peer] = p
 	}
 	p.up = true
 	p.upAt = m.now
-	p.offset = unknownOffset
 	p.lastBegin = 0
 	p.lastCancel = 0
 	p.full = true
@@ -135,8 +134,9 @@
 		m.emit(CloseSession{Peer: p.id})
 		return
 	}
+	// The dispatcher sends nothing else before the echo of its first stamp.
+	p.dirty = p.dirty || p.lastStamp == 0 || m.now-p.reportedAt >= echoInterval
 	valid := m.recordStamp(p, o.Stamp)
-	p.dirty = p.dirty || m.now-p.reportedAt >= echoInterval
 	m.dropAckedEnds(p, o.AckedEnd)
 	m.updateWant(p, o)
 	m.handleCancels(p, o)
--- a/internal/runs/peer_controller_test.go
+++ b/internal/runs/peer_controller_test.go
@@ -33,6 +33,19 @@
 	qt.Check(t, a.reportedEnds("e1/1"), qt.DeepEquals, []proto.EndReason{proto.EndDone})
 }
 
+// An order that was held up at the beginning of a session must not start a run that its dispatcher has given up.
+func TestDelayIsNoticedAtTheBeginningOfASession(t *testing.T) {
+	a := newAgentTest(t)
+	a.now = 1000
+	a.orders("e1/1", a.now)
+	a.handle(event.SessionDown{Peer: "e1/1"})
+	a.handle(event.SessionUp{Peer: "e1/1"})
+	a.now += a.m.cfg.Silence + 1
+	a.orders("e1/1", 1000, a.newBegin("j1", 1000))
+	qt.Check(t, a.reportedEnds("e1/1"), qt.DeepEquals, []proto.EndReason{proto.EndNotBegun})
+	qt.Check(t, actions[StartRun](a), qt.HasLen, 0)
+}
+
 // A session that only the agent knows of must not let the runs of its dispatcher go on, which start elsewhere.
 func TestSessionWithoutAStampLetsNoRunGoOn(t *testing.T) {
 	a := newAgentTest(t)
