--- a/internal/runs/await_controller.go
+++ b/internal/runs/await_controller.go
@@ -19,12 +19,7 @@
 		m.awaited = nil
 		return
 	}
-	m.lastPoll++
-	m.poll = &Poll{
-		Instance: m.awaited.ID, Token: m.fence.token, Born: m.awaited.Born, At: m.now, Number: m.lastPoll, Timeout: m.cfg.OrderTimeout,
-	}
-	m.pollSentAt = m.now
-	m.emit(*m.poll)
+	m.emitPoll(Poll{Instance: m.awaited.ID, Born: m.awaited.Born})
 }
 
 // pollPause returns the time until the next poll after one without an answer.
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -301,10 +301,10 @@
 	// unansweredUntil is how long an order without an answer may still be carried out, also by the next process at the backend server.
 	unansweredUntil clock.Millis
 	// awaited is the backend server whose process has ended and may start again under its id; nil if none is awaited.
-	awaited      *Instance
-	poll         *Poll
-	pollSentAt   clock.Millis
-	lastPoll     uint64
+	awaited    *Instance
+	poll       *Poll
+	pollSentAt clock.Millis
+	lastPoll   uint64
 	// pollAtOnce says that the next poll is answered at once.
 	pollAtOnce bool
 	// nextPollAt is when the next poll may be sent.
--- a/internal/runs/lease_controller.go
+++ b/internal/runs/lease_controller.go
@@ -37,52 +37,50 @@
 	if idle && m.now >= m.unansweredUntil {
 		return
 	}
-	m.lastPoll++
 	m.fence.startIncarnation(m.instance)
-	poll := Poll{
-		Instance: m.instance.ID, Token: m.fence.token, Born: m.instance.Born, At: m.now, Lease: m.cfg.Lease, AckedEnd: m.lastEndSeen,
-		Wait: m.cfg.PollWait, Number: m.lastPoll, Timeout: m.cfg.PollWait + m.cfg.OrderTimeout,
+	lease, wait := m.pollTerms(idle)
+	if lease > 0 {
+		m.leaseRenewedAt = m.now
 	}
+	m.emitPoll(Poll{Instance: m.instance.ID, Born: m.instance.Born, Lease: lease, AckedEnd: m.lastEndSeen, Wait: wait})
+}
+
+// pollTerms returns the lease that the next poll grants and how long it waits for the end of a run.
+func (m *Machine) pollTerms(idle bool) (lease, wait clock.Millis) {
+	lease, wait = m.cfg.Lease, m.cfg.PollWait
 	if m.pollAtOnce {
 		m.pollAtOnce = false
-		poll.Wait = 0
-		poll.Timeout = m.cfg.OrderTimeout
+		wait = 0
 	} else if m.anyStopping() {
-		poll.Wait = stopPollWait
-		poll.Timeout = stopPollWait + m.cfg.OrderTimeout
+		wait = stopPollWait
 	}
 	if m.leaving {
-		poll.Lease = 0
+		lease = 0
 	}
 	if !m.settled || len(m.runs) == 0 {
-		poll.Lease = 0
-		poll.Wait = 0
-		poll.Timeout = m.cfg.OrderTimeout
+		lease, wait = 0, 0
 	}
 	if idle {
-		poll.Wait = m.cfg.PollWait
-		poll.Timeout = m.cfg.PollWait + m.cfg.OrderTimeout
+		wait = m.cfg.PollWait
 	}
 	if m.health.unanswered >= noRenewAfter {
 		// An unanswered poll may still renew the lease, so as long as polls ask for that the lease can't count as lapsed.
-		poll.Lease = 0
-		poll.Wait = 0
-		poll.Timeout = m.cfg.OrderTimeout
+		lease, wait = 0, 0
 	}
-	if poll.Lease > 0 && !m.mayRenew() {
-		poll.Lease = 0
-		poll.Wait = stopPollWait
-		poll.Timeout = stopPollWait + m.cfg.OrderTimeout
+	if lease > 0 && !m.mayRenew() {
+		lease, wait = 0, stopPollWait
 	}
 	if len(m.orphans) > 0 {
-		poll.Wait = stopPollWait
-		poll.Timeout += stopPollWait
-	}
-	m.poll = &poll
-	m.pollSentAt = m.now
-	if poll.Lease > 0 {
-		m.leaseRenewedAt = m.now
+		wait = stopPollWait
 	}
+	return lease, wait
+}
+
+// emitPoll numbers a poll and sends it.
+func (m *Machine) emitPoll(poll Poll) {
+	m.lastPoll++
+	poll.Number, poll.Token, poll.At, poll.Timeout = m.lastPoll, m.fence.token, m.now, poll.Wait+m.cfg.OrderTimeout
+	m.poll, m.pollSentAt = &poll, m.now
 	m.emit(poll)
 }
 
@@ -130,9 +128,11 @@
 		}
 		m.expireLease()
 		return
-	case m.instance == nil && !m.resumeAwaited():
+	}
+	if m.instance == nil && !m.resumeAwaited() {
 		return
-	case ev.Born < m.instance.Born && !m.isOlderConfirmed(ev.Born):
+	}
+	if ev.Born < m.instance.Born && !m.isOlderConfirmed(ev.Born) {
 		return
 	}
 	m.olderBorn, m.olderAnswers = 0, 0
