--- a/internal/emul/callers.go
+++ b/internal/emul/callers.go
@@ -84,7 +84,9 @@
 	c.entry.push(disp.Submit{Ticket: ticket, Job: c.Job})
 	w.after(c.Job.Timeout, func() {
 		if c.ticket == ticket && c.Answer == "" {
-			c.entry.callerLeft(c.entryIncarnation, ticket)
+			if !w.cfg.CutCallers {
+				c.entry.callerLeft(c.entryIncarnation, ticket)
+			}
 			c.retryLater()
 		}
 	})
--- a/internal/emul/drawn_test.go
+++ b/internal/emul/drawn_test.go
@@ -73,6 +73,16 @@
 	}
 }
 
+// The same while entries don't hear of callers that stop waiting: their jobs end before they are sent again elsewhere.
+func TestDrawnFaultsBesideCutCallers(t *testing.T) {
+	t.Parallel()
+	checkDrawn(t, func(seed uint64) Config {
+		cfg := randomConfig(seed)
+		cfg.CutCallers = true
+		return cfg
+	})
+}
+
 // The same while requests to backend servers and their answers overtake each other.
 func TestDrawnFaultsBesideOvertakingAnswers(t *testing.T) {
 	t.Parallel()
--- a/internal/emul/world.go
+++ b/internal/emul/world.go
@@ -49,6 +49,8 @@
 	Jitter clock.Millis
 	// NamesBorn says that backend servers name their incarnation in the answers to starts and stops too.
 	NamesBorn bool
+	// CutCallers says that entries don't hear of callers that stop waiting.
+	CutCallers bool
 	// SetBack says that the time of day is set back before each start of an agent.
 	SetBack bool
 	// HoldMost is the longest lease that a backend server grants, in milliseconds.
