Explore each single delay and fault of a session, and drawn pairs of them

Drawn sessions find an order of events as far as the draws go. internal/emul now plays the usual session of a small deployment (one or two agents, 8 ms one way) again with each single deviation from it: one message, request or answer 15 ms late, or one of 13 faults at one of 40 moments; then pairs of deviations that are drawn. A path of deviations repeats its session.

A first version reported doubles on one backend server: two replacements overlapped, and the second's start dropped what ran; a backend server that is down is no longer replaced.

--- a/internal/emul/faults.go
+++ b/internal/emul/faults.go
@@ -202,6 +202,9 @@
 // announces itself at once.
 func (w *World) ReplaceBackend(agent int, downtime clock.Millis) {
 	a := w.agents[agent]
+	if !a.backend.up {
+		return
+	}
 	w.logf("the backend server of %s is replaced", a.name)
 	id := a.backend.id + "x"
 	a.backend.crash()
--- a/internal/emul/orders.go
+++ b/internal/emul/orders.go
@@ -47,7 +47,7 @@
 // requestDelay returns how long a request or its answer is under way.
 func (w *World) requestDelay() clock.Millis {
 	if w.cfg.Jitter == 0 {
-		return requestLatency
+		return requestLatency + w.choices.delay(w.now)
 	}
 	return requestLatency + clock.Millis(w.rng.IntN(int(w.cfg.Jitter)))
 }
--- a/internal/emul/proc.go
+++ b/internal/emul/proc.go
@@ -134,15 +134,23 @@
 func (w *World) send(p *proc, to shard.ID, msg proto.Message) {
 	peer, _, _ := strings.Cut(string(to), "/")
 	if s := w.sessions[[2]string{p.name, peer}]; s != nil && s.agentID == to && s.entryUp && s.entryID == p.id {
-		s.toAgent = append(s.toAgent, sentMessage{at: w.now + w.cfg.Latency, msg: msg})
-		w.after(w.cfg.Latency, s.flush)
+		w.deliver(s, &s.toAgent, msg)
 	}
 	if s := w.sessions[[2]string{peer, p.name}]; s != nil && s.entryID == to && s.agentUp && s.agentID == p.id {
-		s.toEntry = append(s.toEntry, sentMessage{at: w.now + w.cfg.Latency, msg: msg})
-		w.after(w.cfg.Latency, s.flush)
+		w.deliver(s, &s.toEntry, msg)
 	}
 }
 
+// deliver puts a message behind those that are under way in its direction.
+func (w *World) deliver(s *session, underWay *[]sentMessage, msg proto.Message) {
+	at := w.now + w.cfg.Latency + w.choices.delay(w.now)
+	if n := len(*underWay); n > 0 {
+		at = max(at, (*underWay)[n-1].at)
+	}
+	*underWay = append(*underWay, sentMessage{at: at, msg: msg})
+	w.after(at-w.now, s.flush)
+}
+
 // flush delivers the messages in flight in each direction that is not cut.
 func (s *session) flush() {
 	if !s.world.isCut(s.entry.name, s.agent.name) {
--- a/internal/emul/world.go
+++ b/internal/emul/world.go
@@ -92,6 +92,8 @@
 	plans    map[string]taskPlan
 	callers  map[string]*Caller
 	checker  *checker
+	// choices decides what is open in an explored session; nil in others.
+	choices *choices
 	// lastSerial is the last number given to a process incarnation or a caller's ticket.
 	lastSerial int
 	Log        strings.Builder
