--- a/internal/emul/drawn_test.go
+++ b/internal/emul/drawn_test.go
@@ -64,12 +64,7 @@
 			w.scheduleLateOrders(sessionLength)
 		}
 		w.Run(sessionLength + 12*clock.Second)
-		if len(w.Violations()) > 0 {
-			t.Errorf("seed %d: %v", *firstSeed+i, w.Violations()[0])
-			if *trace {
-				t.Log(w.Log.String())
-			}
-		}
+		checkHeld(t, w)
 	}
 }
 
@@ -93,6 +88,17 @@
 	})
 }
 
+// checkHeld reports the first broken promise of a session.
+func checkHeld(t *testing.T, w *World) {
+	if len(w.Violations()) == 0 {
+		return
+	}
+	t.Errorf("seed %d: %v", w.cfg.Seed, w.Violations()[0])
+	if *trace {
+		t.Log(w.Log.String())
+	}
+}
+
 func checkDrawn(t *testing.T, config func(seed uint64) Config) {
 	results := map[disp.Result]int{}
 	for i := range uint64(*seeds) {
@@ -100,12 +106,7 @@
 		for _, c := range w.callers {
 			results[c.Answer]++
 		}
-		if len(w.Violations()) > 0 {
-			t.Errorf("seed %d: %v", *firstSeed+i, w.Violations()[0])
-			if *trace {
-				t.Log(w.Log.String())
-			}
-		}
+		checkHeld(t, w)
 	}
 	t.Logf("%d sessions, answers: %v", *seeds, results)
 	qt.Check(t, results[disp.Completed] > results[disp.Refused], qt.IsTrue)
@@ -122,12 +123,7 @@
 		w.scheduleFaults(sessionLength)
 		w.scheduleLateOrders(sessionLength)
 		w.Run(sessionLength + 12*clock.Second)
-		if len(w.Violations()) > 0 {
-			t.Errorf("seed %d: %v", *firstSeed+i, w.Violations()[0])
-			if *trace {
-				t.Log(w.Log.String())
-			}
-		}
+		checkHeld(t, w)
 	}
 }
 
@@ -139,12 +135,7 @@
 		cfg.LateShare, cfg.LateMin, cfg.LateRange = 0.2, 50, 750
 		cfg.SetBack, cfg.LateOutlives = i%4 == 3, *outlive
 		w := Drawn(cfg, *trace, sessionLength)
-		if len(w.Violations()) > 0 {
-			t.Errorf("seed %d: %v", cfg.Seed, w.Violations()[0])
-			if *trace {
-				t.Log(w.Log.String())
-			}
-		}
+		checkHeld(t, w)
 	}
 }
 
--- a/internal/emul/explore.go
+++ b/internal/emul/explore.go
@@ -83,12 +83,6 @@
 	w.after(span, func() { w.Thaw(p) })
 }
 
-func (w *World) resetSessions(e *proc) {
-	for _, s := range w.sessionsOf(e) {
-		s.close(e)
-	}
-}
-
 // restartBackend crashes the backend server of the agent with a number; it starts again under its id after the downtime.
 func (w *World) restartBackend(agent int, downtime clock.Millis) {
 	r := w.agents[agent].backend
--- a/internal/emul/faults.go
+++ b/internal/emul/faults.go
@@ -41,76 +41,59 @@
 	next()
 }
 
+// repeat calls a function after a delay and then again and again until a point in time; the pauses are drawn from least up to most.
+func (w *World) repeat(until, delay, least, most clock.Millis, f func()) {
+	w.after(delay, func() {
+		if w.now > until {
+			return
+		}
+		f()
+		w.repeat(until, least+clock.Millis(w.rng.IntN(int(most-least))), least, most, f)
+	})
+}
+
+// firstFault is the delay of the first fault of each kind, in milliseconds.
+const firstFault = 500 * clock.Millis(1)
+
 // scheduleLongJobs submits jobs whose tasks outlast the leases of a lost dispatcher.
 func (w *World) scheduleLongJobs(length clock.Millis) {
 	number := 0
-	var next func()
-	next = func() {
-		if w.now > length {
-			return
-		}
+	w.repeat(length, 0, 50, 250, func() {
 		number++
 		w.Submit(number, Tasks{
 			Count: 1 + w.rng.IntN(2), Need: room.Resources{CPU: 1000, MemMB: 64}, Work: clock.Millis(1000 + w.rng.IntN(2000)), Estimate: 1500,
 			Patience: 6 * clock.Second,
 		})
-		w.after(clock.Millis(50+w.rng.IntN(200)), next)
-	}
-	next()
+	})
 }
 
 func (w *World) scheduleFaults(length clock.Millis) {
-	var next func()
-	next = func() {
-		if w.now > length {
-			return
-		}
-		w.injectFault()
-		w.after(clock.Millis(50+w.rng.IntN(1500)), next)
-	}
-	w.after(500, next)
+	w.repeat(length, firstFault, 50, 1550, w.injectFault)
 }
 
 // scheduleLateOrders leaves the orders to one backend server after another unanswered.
 func (w *World) scheduleLateOrders(length clock.Millis) {
-	var next func()
-	next = func() {
-		if w.now > length {
-			return
-		}
+	w.repeat(length, firstFault, 200, 2200, func() {
 		w.LateOrders(w.rng.IntN(len(w.agents)), clock.Millis(500+w.rng.IntN(3000)))
-		w.after(clock.Millis(200+w.rng.IntN(2000)), next)
-	}
-	w.after(500, next)
+	})
 }
 
 // scheduleResets resets all sessions of one entry after another.
 func (w *World) scheduleResets(length clock.Millis) {
-	var next func()
-	next = func() {
-		if w.now > length {
-			return
-		}
-		e := w.entries[w.rng.IntN(len(w.entries))]
-		for _, s := range w.sessionsOf(e) {
-			s.close(e)
-		}
-		w.after(clock.Millis(100+w.rng.IntN(1500)), next)
-	}
-	w.after(500, next)
+	w.repeat(length, firstFault, 100, 1600, func() { w.resetSessions(w.entries[w.rng.IntN(len(w.entries))]) })
 }
 
 // scheduleKills ends one agent after another without its dispatchers hearing of it.
 func (w *World) scheduleKills(length clock.Millis) {
-	var next func()
-	next = func() {
-		if w.now > length {
-			return
-		}
+	w.repeat(length, firstFault, 200, 1700, func() {
 		w.Kill(w.agents[w.rng.IntN(len(w.agents))], true, clock.Millis(500+w.rng.IntN(2000)))
-		w.after(clock.Millis(200+w.rng.IntN(1500)), next)
+	})
+}
+
+func (w *World) resetSessions(e *proc) {
+	for _, s := range w.sessionsOf(e) {
+		s.close(e)
 	}
-	w.after(500, next)
 }
 
 // injectFault injects one random fault.
@@ -151,9 +134,7 @@
 		a.backend.slowdown = 2 + 4*w.rng.Float64()
 		w.after(span, func() { a.backend.slowdown = 1 })
 	case 11:
-		for _, s := range w.sessionsOf(e) {
-			s.close(e)
-		}
+		w.resetSessions(e)
 	}
 }
 
