Orders name the incarnation and the label that they were placed on

Cause: the dispatcher checks labels against the agent's last report, and an order that a cut held up for less than 400 ms started on the next backend server, of another kind. Ruled out: a wrong choice by the dispatcher (the test places by the facts of that moment).

An order names the incarnation and the required label; the agent compares both when the run starts, also behind the queue for room, and returns what doesn't match as outdated, which the dispatcher places again at once. Labels that change within an incarnation are reported.

--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -231,7 +231,7 @@
 		v := views[c]
 		if begins[c] == nil {
 			v.beginSeq++
-			begins[c] = &proto.Begin{Seq: v.beginSeq, Job: j.ID, Service: j.Service, Spec: j.Spec, Rank: j.queued.OwnRank()}
+			begins[c] = &proto.Begin{Seq: v.beginSeq, Job: j.ID, Service: j.Service, Spec: j.Spec, Rank: j.queued.OwnRank(), Instance: v.facts.Instance, Born: v.facts.Born}
 		}
 		step := j.Steps[t.step]
 		t.state = sent
@@ -246,7 +246,7 @@
 		}
 		j.lastSent = m.now
 		begins[c].Tasks = append(begins[c].Tasks, proto.TaskBegin{
-			Task: t.name, Run: t.run, Need: step.Need, EstimateMS: step.Estimate,
+			Task: t.name, Run: t.run, Need: step.Need, EstimateMS: step.Estimate, Requires: step.Requires,
 		})
 		v.inFlight = append(v.inFlight, inFlightTask{seq: v.beginSeq, need: step.Need})
 	}
--- a/internal/disp/place_controller_test.go
+++ b/internal/disp/place_controller_test.go
@@ -5,6 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"corianderspur.example/corianderspur/internal/event"
 	"corianderspur.example/corianderspur/internal/proto"
 	"corianderspur.example/corianderspur/internal/room"
 	"corianderspur.example/corianderspur/internal/shard"
@@ -65,3 +66,23 @@
 	e.submit(2, large)
 	qt.Assert(t, len(e.sentTasks()), qt.Equals, 1)
 }
+
+// Review case 10: an order names what it was decided on, so that an agent starts it on nothing else.
+func TestOrderNamesTheIncarnationAndTheLabelThatWereChosen(t *testing.T) {
+	e := newEntryTest(t)
+	e.do(event.SessionUp{Peer: "a1/1", Role: proto.RoleAgent})
+	total := room.Resources{CPU: 4000, MemMB: 1000}
+	facts := &proto.Facts{Agent: "a1/1", Service: "s", Total: total, Labels: []string{"a"}, Instance: "r1", Born: 5}
+	e.report("a1/1", proto.Report{Free: total, Accepting: true, Settled: true, Facts: facts, Inventory: &proto.Inventory{}})
+	j := jobOf(1, 1, 1000)
+	j.Steps[0].Requires = "a"
+	e.submit(1, j)
+	var begins []proto.Begin
+	for _, o := range e.sentOrders()["a1/1"] {
+		begins = append(begins, o.Begins...)
+	}
+	qt.Assert(t, begins, qt.HasLen, 1)
+	qt.Check(t, begins[0].Instance, qt.Equals, "r1")
+	qt.Check(t, begins[0].Born, qt.Equals, int64(5))
+	qt.Check(t, begins[0].Tasks[0].Requires, qt.Equals, "a")
+}
--- a/internal/disp/proof.go
+++ b/internal/disp/proof.go
@@ -23,7 +23,7 @@
 
 // reportedEnd is the proof that an agent gives by reporting the end of a run.
 func reportedEnd(e proto.End) proof {
-	return proof{name: string(e.How), returned: e.How == proto.EndNoRoom || e.How == proto.EndNotBegun}
+	return proof{name: string(e.How), returned: e.How == proto.EndNoRoom || e.How == proto.EndNotBegun || e.How == proto.EndOutdated}
 }
 
 // inventoryProof returns the proof that an inventory of an agent gives for a task that it lacks, and whether it gives any: an order
--- a/internal/disp/run_outcomes.go
+++ b/internal/disp/run_outcomes.go
@@ -30,6 +30,8 @@
 	case proto.EndNoRoom:
 		j.returned++
 		m.requeue(j, t, reportedEnd(e))
+	case proto.EndOutdated:
+		m.requeue(j, t, reportedEnd(e))
 	case proto.EndNotBegun:
 		v.backoffUntil = m.now + beginBackoff
 		m.requeue(j, t, reportedEnd(e))
--- a/internal/proto/order.go
+++ b/internal/proto/order.go
@@ -44,6 +44,10 @@
 	Tasks   []TaskBegin `cbor:"tasks"`
 	// Rank is the priority of the job; of the runs that wait for resources at the agent, those of the lowest rank start first.
 	Rank int `cbor:"rank,omitempty"`
+	// Instance and Born name the incarnation of the backend server that the tasks were placed on; an agent starts them on no other. An
+	// order without them is for any incarnation.
+	Instance string `cbor:"instance,omitempty"`
+	Born     int64  `cbor:"born,omitempty"`
 }
 
 // TaskBegin is one task of a Begin.
@@ -53,6 +57,8 @@
 	Need room.Resources `cbor:"need"`
 	// EstimateMS is how long the task is expected to run, in milliseconds.
 	EstimateMS clock.Millis `cbor:"estimate_ms,omitempty"`
+	// Requires is a label that the backend server must have; empty for none.
+	Requires string `cbor:"requires,omitempty"`
 }
 
 // RunRef identifies one run of a task.
@@ -78,6 +84,8 @@
 	EndNoRoom EndReason = "no_room"
 	// EndNotBegun is a run that did not start for another reason.
 	EndNotBegun EndReason = "not_begun"
+	// EndOutdated is a run that did not start since the backend server isn't the one that it was placed on.
+	EndOutdated EndReason = "outdated"
 )
 
 // End reports how a run ended; nothing of the run is still executing.
@@ -122,6 +130,9 @@
 	Service string         `cbor:"service"`
 	Total   room.Resources `cbor:"total"`
 	Labels  []string       `cbor:"labels,omitempty"`
+	// Instance and Born name the incarnation of the backend server.
+	Instance string `cbor:"instance,omitempty"`
+	Born     int64  `cbor:"born,omitempty"`
 }
 
 // Inventory lists the runs that still execute or whose end is not known yet.
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -220,6 +220,8 @@
 	progressAt clock.Millis
 	// rank is the priority of the run's job; the lowest comes first.
 	rank int
+	// target is what the run was placed on.
+	target target
 	// spec is the input of the run; a queued run is returned to its dispatcher at queueDeadline.
 	spec          string
 	queueDeadline clock.Millis
--- a/internal/runs/hold_controller.go
+++ b/internal/runs/hold_controller.go
@@ -48,7 +48,7 @@
 	for _, task := range slices.Clone(m.queue) {
 		r := m.runs[task]
 		p := m.peers[r.peer]
-		if !m.accepting() || p == nil || !p.up || m.now-p.lastHeard > m.cfg.Silence {
+		if !m.accepting() || !r.target.matches(m.instance) || p == nil || !p.up || m.now-p.lastHeard > m.cfg.Silence {
 			m.rejectQueued(r)
 			continue
 		}
--- a/internal/runs/incarnation_controller.go
+++ b/internal/runs/incarnation_controller.go
@@ -1,6 +1,8 @@
 package runs
 
 import (
+	"slices"
+
 	"corianderspur.example/corianderspur/internal/event"
 	"corianderspur.example/corianderspur/internal/proto"
 )
@@ -133,7 +135,8 @@
 }
 
 func (m *Machine) updateInstance(in Instance) {
-	changed := in.Draining != m.instance.Draining || in.Total != m.instance.Total || in.Service != m.instance.Service
+	changed := in.Draining != m.instance.Draining || in.Total != m.instance.Total || in.Service != m.instance.Service ||
+		!slices.Equal(in.Labels, m.instance.Labels)
 	if in.Draining && !m.instance.Draining {
 		m.note(event.Note{Name: "backend_server_drains", Instance: in.ID, Count: len(m.runs)})
 	}
--- a/internal/runs/peer_controller.go
+++ b/internal/runs/peer_controller.go
@@ -239,6 +239,7 @@
 	f := &proto.Facts{Agent: m.cfg.Name}
 	if in := m.instance; in != nil {
 		f.Zone, f.Service, f.Total, f.Labels = in.Zone, in.Service, in.Total, in.Labels
+		f.Instance, f.Born = in.ID, in.Born
 	}
 	return f
 }
--- a/internal/runs/run_controller.go
+++ b/internal/runs/run_controller.go
@@ -12,11 +12,12 @@
 // handleBegin starts or queues the tasks of one Begin that it can; valid says that the order is not too old.
 func (m *Machine) handleBegin(p *peer, b proto.Begin, valid bool) {
 	for _, t := range b.Tasks {
-		how := m.refusal(b, t, valid)
+		target := target{service: b.Service, instance: Incarnation{ID: b.Instance, Born: b.Born}, label: t.Requires}
+		how := m.refusal(t, target, valid)
 		if how == proto.EndNoRoom {
 			p.wantsUntil = m.now + wantTTL
 		}
-		r := &run{peer: p.id, task: t.Task, run: t.Run, need: t.Need, rank: b.Rank, spec: b.Spec, estimate: t.EstimateMS}
+		r := &run{peer: p.id, task: t.Task, run: t.Run, need: t.Need, rank: b.Rank, spec: b.Spec, estimate: t.EstimateMS, target: target}
 		switch {
 		case how == "":
 			m.runs[t.Task] = r
@@ -45,10 +46,13 @@
 }
 
 // refusal returns why a task is refused, or an empty string.
-func (m *Machine) refusal(b proto.Begin, t proto.TaskBegin, valid bool) proto.EndReason {
+func (m *Machine) refusal(t proto.TaskBegin, target target, valid bool) proto.EndReason {
 	switch {
-	case !valid, !m.accepting(), m.instance.Service != b.Service:
+	case !valid, !m.accepting():
 		return proto.EndNotBegun
+	case !target.matches(m.instance):
+		m.note(event.Note{Name: "order_outdated", Job: t.Task, Instance: m.instance.ID, Run: t.Run})
+		return proto.EndOutdated
 	case m.runs[t.Task] != nil:
 		return proto.EndNotBegun
 	case !m.mayRenew(), !m.instance.Total.Minus(m.used).Minus(m.queuedNeed).Fits(t.Need):
