--- a/internal/conf/leased.go
+++ b/internal/conf/leased.go
@@ -15,6 +15,8 @@
 	defaultReattach     clock.Millis = 200
 	defaultPollWait     clock.Millis = 120
 	defaultOrderTimeout clock.Millis = 40
+	// defaultEvacuationWait is the time that a hedged read of the store takes at most.
+	defaultEvacuationWait clock.Millis = 500
 	// defaultTick is a fifth of the shortest time that the state machines wait for.
 	defaultTick clock.Millis = 15
 )
@@ -54,6 +56,8 @@
 	DrainLimitMS clock.Millis `json:"drain_limit_ms" validate:"min=0,max=600000"`
 	// FarFactor is how much longer a task takes away from its data.
 	FarFactor float64 `json:"far_factor" validate:"min=1,max=1000"`
+	// ColdFactor is how much longer a task takes on a backend server that is slow after its start.
+	ColdFactor float64 `json:"cold_factor" validate:"min=1,max=1000"`
 	// FeedWaitMS is how long the table service may hold a request for changes back, in milliseconds.
 	FeedWaitMS clock.Millis `json:"feed_wait_ms" validate:"min=10,max=30000"`
 	// TickMS is the time between ticks of the state machine, in milliseconds.
@@ -69,7 +73,7 @@
 	return Dispatcher{
 		BeatMS: defaultBeat, SilenceMS: defaultSilence, IdleBeatMS: defaultIdleBeat, IdleSilenceMS: defaultIdleSilence,
 		LeaseMS: defaultLease, ReattachMS: defaultReattach,
-		DialTimeoutMS: 300, RedialMS: 10, AnswerMarginMS: 60, DrainLimitMS: 5500, FeedWaitMS: 1000, FarFactor: 1, GCPercent: 200, TickMS: defaultTick,
+		DialTimeoutMS: 300, RedialMS: 10, AnswerMarginMS: 60, DrainLimitMS: 5500, FeedWaitMS: 1000, FarFactor: 1, ColdFactor: 1, GCPercent: 200, TickMS: defaultTick,
 	}
 }
 
@@ -105,6 +109,9 @@
 	OrderTimeoutMS clock.Millis `json:"order_timeout_ms" validate:"min=5,max=10000"`
 	// DrainLimitMS is the longest time a planned stop waits for running tasks, in milliseconds.
 	DrainLimitMS clock.Millis `json:"drain_limit_ms" validate:"min=0,max=600000"`
+	// EvacuationWaitMS bounds how long no task is accepted after the start until the evacuated availability zones are known, in
+	// milliseconds.
+	EvacuationWaitMS clock.Millis `json:"evacuation_wait_ms" validate:"min=0,max=10000"`
 	// TickMS is the time between ticks of the state machine, in milliseconds.
 	TickMS clock.Millis `json:"tick_ms" validate:"min=1,max=1000"`
 	// GCPercent is the growth of memory at which garbage is collected, in percent.
@@ -117,7 +124,7 @@
 func DefaultKeeper() Keeper {
 	return Keeper{
 		LeaseMS: defaultLease, SilenceMS: defaultSilence, IdleSilenceMS: defaultIdleSilence, ReattachMS: defaultReattach, PollWaitMS: defaultPollWait,
-		OrderTimeoutMS: defaultOrderTimeout, DrainLimitMS: 5500, GCPercent: 200, TickMS: defaultTick,
+		OrderTimeoutMS: defaultOrderTimeout, DrainLimitMS: 5500, EvacuationWaitMS: defaultEvacuationWait, GCPercent: 200, TickMS: defaultTick,
 	}
 }
 
--- a/internal/disp/agent_controller.go
+++ b/internal/disp/agent_controller.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/evac"
 	"corianderspur.example/corianderspur/internal/event"
 	"corianderspur.example/corianderspur/internal/proto"
 	"corianderspur.example/corianderspur/internal/room"
@@ -28,6 +29,7 @@
 	v.inFlight = nil
 	v.beginSeq = 0
 	v.ackedSeq = 0
+	v.evacuated = evac.Session{}
 	m.note(event.Note{Name: "session_up", Peer: id})
 	m.heartbeat(v)
 }
@@ -163,6 +165,7 @@
 	}
 	o.Stamp = m.now
 	o.AckedEnd = v.lastEnd
+	o.Evacuated = v.evacuated.Due(&m.evacuated)
 	v.lastOrders = m.now
 	m.emit(event.Send{To: v.id, Message: proto.Message{Orders: o}})
 }
@@ -182,6 +185,11 @@
 	v.echo.observe(m.now, r.Echo)
 	mayFit := r.Accepting && (!wasPrompt || !v.accepting || r.Free.CPU > v.free.CPU || r.Free.MemMB > v.free.MemMB || len(r.Ends) > 0)
 	v.free, v.accepting, v.settled, v.ackedSeq, v.pace = r.Free, r.Accepting, r.Settled, r.LastBegin, r.Pace
+	v.warmUntil = m.now + r.WarmUpMS
+	if r.Evacuated != nil {
+		v.evacuated.Heard(r.Evacuated.Version)
+		m.learnEvacuated(*r.Evacuated, string(v.id))
+	}
 	if r.Facts != nil {
 		v.facts = *r.Facts
 		mayFit = true
@@ -282,5 +290,5 @@
 
 // usable reports whether tasks of a service may be sent to the agent.
 func (m *Machine) usable(v *agentView, service string) bool {
-	return v.attached && !v.unchosen && v.accepting && v.echo.isPrompt(m.now) && v.facts.Service == service && m.now >= v.backoffUntil
+	return v.attached && !v.unchosen && !m.evacuated.Has(v.facts.Zone) && v.accepting && v.echo.isPrompt(m.now) && v.facts.Service == service && m.now >= v.backoffUntil
 }
--- a/internal/disp/choice_controller.go
+++ b/internal/disp/choice_controller.go
@@ -30,14 +30,15 @@
 	}
 }
 
-// chooseAgents chooses the agents to which sessions are kept open. Those that can't be reached don't count
-// after connectTimeout, so that others are added beside them, and those with tasks of this dispatcher are kept.
+// chooseAgents chooses the agents to which sessions are kept open. Those in evacuated availability zones, and after connectTimeout
+// those that can't be reached, don't count, so that others are added beside them. Those with tasks of this dispatcher are kept.
 func (m *Machine) chooseAgents() {
 	m.nextChoice = m.now + chooseInterval
 	upNames, busyNames := m.connected()
+	evacuated := m.evacuatedMembers()
 	reachable := func(id shard.ID) bool {
 		since, ok := m.chosen[id]
-		return upNames[string(id)] || !ok || m.now-since < connectTimeout
+		return !evacuated[id] && (upNames[string(id)] || !ok || m.now-since < connectTimeout)
 	}
 	chosen := subset.Choose(m.cfg.Zone, m.ranked, reachable, func(id shard.ID) bool { return busyNames[string(id)] })
 	chosenSince := make(map[shard.ID]clock.Millis, len(chosen))
--- a/internal/disp/common.go
+++ b/internal/disp/common.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/evac"
 	"corianderspur.example/corianderspur/internal/event"
 	"corianderspur.example/corianderspur/internal/proto"
 	"corianderspur.example/corianderspur/internal/room"
@@ -35,7 +36,9 @@
 	DrainLimit clock.Millis
 	// RemoteFactor is the factor by which a task takes longer away from its data; 0 and 1 mean no difference.
 	RemoteFactor float64
-	Seed         uint64
+	// ColdFactor is the factor by which a task takes longer on a backend server that is slow after its start; 0 and 1 mean no difference.
+	ColdFactor float64
+	Seed       uint64
 }
 
 // Job is a job whose tasks may be repeated after a failure; times are in milliseconds.
@@ -93,6 +96,11 @@
 	Agents []shard.Member
 }
 
+// Evacuated is the state of evacuated availability zones that was read from the store.
+type Evacuated struct {
+	State evac.State
+}
+
 // Result says how a job was answered.
 type Result string
 
@@ -198,6 +206,10 @@
 	downAt clock.Millis
 	// unchosen says that the agent is no longer chosen, so that its session is about to be closed.
 	unchosen bool
+	// evacuated tracks which evacuated zones the agent has heard of in this session.
+	evacuated evac.Session
+	// warmUntil is when the backend server has its full speed.
+	warmUntil clock.Millis
 	// backoffUntil is the time until which the agent gets no tasks.
 	backoffUntil clock.Millis
 }
@@ -244,6 +256,7 @@
 	// wantRanks holds the lowest rank of the jobs that wait for room, by service; the lowest is the most urgent.
 	wantRanks map[string]int
 	timings   map[string]*timing
+	evacuated evac.Register
 	// startedAt is when the dispatcher handled its first event.
 	startedAt clock.Millis
 }
--- a/internal/disp/job_controller.go
+++ b/internal/disp/job_controller.go
@@ -92,6 +92,9 @@
 	return longest
 }
 
+// noWorker is the reason to refuse a job that no agent can run.
+const noWorker = "no_worker"
+
 // refusalReason returns why a job can't be served no matter how much room becomes free, or "" if it can.
 func (m *Machine) refusalReason(j *job) string {
 	if m.now+m.criticalPath(j) > j.deadline {
@@ -102,7 +105,7 @@
 	}
 	for _, step := range j.Steps {
 		if !m.anyAgentFits(j.Service, step) {
-			return "no_worker"
+			return noWorker
 		}
 	}
 	return ""
@@ -114,7 +117,7 @@
 
 func (m *Machine) anyAgentFits(service string, step Step) bool {
 	for _, v := range m.agents {
-		if v.attached && v.facts.Service == service && v.facts.Total.Fits(step.Need) &&
+		if v.attached && !m.evacuated.Has(v.facts.Zone) && v.facts.Service == service && v.facts.Total.Fits(step.Need) &&
 			(step.Requires == "" || slices.Contains(v.facts.Labels, step.Requires)) {
 			return true
 		}
--- a/internal/disp/machine.go
+++ b/internal/disp/machine.go
@@ -29,6 +29,8 @@
 		}
 	case Members:
 		m.setMembers(ev.Agents)
+	case Evacuated:
+		m.learnEvacuated(ev.State, "store")
 	case Submit:
 		m.submit(ev)
 	case CallerLeft:
--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -61,16 +61,17 @@
 
 func (m *Machine) poolOf(views []*agentView) *pool {
 	p := &pool{views: views}
-	normal := normalPace(views)
+	normal, least := normalPace(views), leastColdness(views, m.now, m.cfg.ColdFactor)
 	for _, v := range views {
+		cold := v.coldness(m.now, m.cfg.ColdFactor) / least
 		c := place.Candidate{
-			ID: v.id, Free: v.estimatedFree(), Total: v.facts.Total, Labels: v.facts.Labels, Slow: v.slowness(normal), Failing: v.failureRate,
+			ID: v.id, Free: v.estimatedFree(), Total: v.facts.Total, Labels: v.facts.Labels, Slow: max(v.slowness(normal), cold), Failing: v.failureRate,
 			Remote: m.cfg.Zone != "" && v.facts.Zone != m.cfg.Zone,
 		}
 		p.candidates = append(p.candidates, c)
 		p.total = p.total.Plus(c.Total)
-		if c.Free.CPU > 0 && c.Slow == 1 {
-			p.free = p.free.Plus(c.Free)
+		if c.Free.CPU > 0 && c.Slow <= cold {
+			p.free = p.free.Plus(c.Free.Times(1 / cold))
 		}
 	}
 	return p
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -10,6 +10,7 @@
 	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/conf"
 	"corianderspur.example/corianderspur/internal/disp"
+	"corianderspur.example/corianderspur/internal/evac"
 	"corianderspur.example/corianderspur/internal/event"
 	"corianderspur.example/corianderspur/internal/mesh"
 	"corianderspur.example/corianderspur/internal/meter"
@@ -37,7 +38,7 @@
 	id := shard.ID(cfg.Name + "/" + incarnation)
 	machine := disp.New(disp.Config{
 		ID: id, Zone: cfg.AvailabilityZone, Beat: cfg.BeatMS, Silence: cfg.SilenceMS, IdleBeat: cfg.IdleBeatMS, IdleSilence: cfg.IdleSilenceMS, Lease: cfg.LeaseMS, ReattachTimeout: cfg.ReattachMS,
-		AnswerMargin: cfg.AnswerMarginMS, DrainLimit: cfg.DrainLimitMS, RemoteFactor: cfg.FarFactor, Seed: seed,
+		AnswerMargin: cfg.AnswerMarginMS, DrainLimit: cfg.DrainLimitMS, RemoteFactor: cfg.FarFactor, ColdFactor: cfg.ColdFactor, Seed: seed,
 	})
 	d := &Dispatcher{
 		machine: machine, notes: &notes{log: log, meter: m}, after: time.After, waiting: map[uint64]chan disp.Reply{},
@@ -253,3 +254,8 @@
 func (d *Dispatcher) SetAgents(agents []shard.Member) {
 	d.loop.Push(disp.Members{Agents: agents})
 }
+
+// SetEvacuated sets the evacuated availability zones as the store has them.
+func (d *Dispatcher) SetEvacuated(s evac.State) {
+	d.loop.Push(disp.Evacuated{State: s})
+}
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -9,6 +9,7 @@
 
 	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/conf"
+	"corianderspur.example/corianderspur/internal/evac"
 	"corianderspur.example/corianderspur/internal/event"
 	"corianderspur.example/corianderspur/internal/mesh"
 	"corianderspur.example/corianderspur/internal/meter"
@@ -40,9 +41,9 @@
 func NewKeeper(cfg conf.Keeper, incarnation string, seed uint64, runner Runner, c clock.Clock, log logr.Logger, m *meter.Meter) *Keeper {
 	id := shard.ID(cfg.Name + "/" + incarnation)
 	machine := runs.New(runs.Config{
-		ID: id, Name: cfg.Name, Token: newToken(seed), Lease: cfg.LeaseMS, Silence: cfg.SilenceMS, IdleSilence: cfg.IdleSilenceMS,
+		ID: id, Name: cfg.Name, Zone: cfg.AvailabilityZone, Token: newToken(seed), Lease: cfg.LeaseMS, Silence: cfg.SilenceMS, IdleSilence: cfg.IdleSilenceMS,
 		Reattach: cfg.ReattachMS, PollWait: cfg.PollWaitMS,
-		OrderTimeout: cfg.OrderTimeoutMS, DrainLimit: cfg.DrainLimitMS,
+		OrderTimeout: cfg.OrderTimeoutMS, DrainLimit: cfg.DrainLimitMS, EvacuationWait: cfg.EvacuationWaitMS,
 	})
 	k := &Keeper{
 		id: id, machine: machine, loop: NewLoop(c, machine), runner: runner, notes: &notes{log: log, meter: m},
@@ -91,6 +92,11 @@
 	return taken
 }
 
+// SetEvacuated sets the evacuated availability zones as the store has them.
+func (k *Keeper) SetEvacuated(s evac.State) {
+	k.loop.Push(runs.Evacuated{State: s})
+}
+
 // Gone handles the planned end of the backend server.
 func (k *Keeper) Gone(id string) {
 	k.loop.Do(func(now clock.Millis) { k.do(k.machine.Handle(now, runs.InstanceLeft{ID: id})) })
--- a/internal/proto/order.go
+++ b/internal/proto/order.go
@@ -4,6 +4,7 @@
 	"github.com/go-faster/errors"
 
 	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/evac"
 	"corianderspur.example/corianderspur/internal/room"
 	"corianderspur.example/corianderspur/internal/shard"
 )
@@ -26,6 +27,8 @@
 	Cancels []string `cbor:"cancels,omitempty"`
 	// Cancelled answers relayed cancels of jobs that the dispatcher had.
 	Cancelled []RelayedCancel `cbor:"cancelled,omitempty"`
+	// Evacuated is included if the agent is not known to have a state as new.
+	Evacuated *evac.State `cbor:"evacuated,omitempty"`
 }
 
 // RelayedCancel is the cancel of a job that an agent relays for a dispatcher, the asker.
@@ -113,6 +116,10 @@
 	Cancels []RelayedCancel `cbor:"cancels,omitempty"`
 	// Cancelled lists the jobs of the dispatcher's own Cancels that another dispatcher had and has cancelled.
 	Cancelled []string `cbor:"cancelled,omitempty"`
+	// Evacuated is included if the dispatcher is not known to have a state as new.
+	Evacuated *evac.State `cbor:"evacuated,omitempty"`
+	// WarmUpMS is how much longer the backend server is slow after its start, in milliseconds.
+	WarmUpMS clock.Millis `cbor:"warm_up_ms,omitempty"`
 }
 
 // Facts describes the backend server beside an agent.
@@ -156,6 +163,9 @@
 			}
 		}
 	}
+	if err := o.Evacuated.Check(); err != nil {
+		return err
+	}
 	return checkCancels(o.Cancelled, o.Cancels)
 }
 
@@ -175,6 +185,12 @@
 			return errors.Errorf("task %q took %d", e.Task, e.TookMS)
 		}
 	}
+	if r.WarmUpMS < 0 || r.WarmUpMS > maxStamp {
+		return errors.Errorf("warm-up of %d ms", r.WarmUpMS)
+	}
+	if err := r.Evacuated.Check(); err != nil {
+		return err
+	}
 	return checkCancels(r.Cancels, r.Cancelled)
 }
 
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -2,6 +2,7 @@
 
 import (
 	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/evac"
 	"corianderspur.example/corianderspur/internal/event"
 	"corianderspur.example/corianderspur/internal/proto"
 	"corianderspur.example/corianderspur/internal/room"
@@ -13,6 +14,8 @@
 	// ID names this incarnation of the agent, Name the instance.
 	ID   shard.ID
 	Name string
+	// Zone is the availability zone of the instance.
+	Zone string
 	// Token is the first fencing token of this incarnation. It is above those of earlier ones unless the time of day was set back.
 	Token uint64
 	// Lease is how long a backend server keeps running tasks without a renewal.
@@ -29,6 +32,9 @@
 	OrderTimeout clock.Millis
 	// DrainLimit is the longest time a planned stop waits for running tasks.
 	DrainLimit clock.Millis
+	// EvacuationWait bounds how long no task is accepted after the start until the evacuated availability zones are known; zero does
+	// not wait.
+	EvacuationWait clock.Millis
 }
 
 // ClockSlack allows for a backend server's clock that is slower than the agent's, as a divisor of the elapsed time.
@@ -45,6 +51,8 @@
 	Total    room.Resources
 	Draining bool
 	Seq      uint64
+	// WarmUp is how much longer the backend server is slow after its start, in milliseconds.
+	WarmUp clock.Millis
 }
 
 // Incarnation identifies an incarnation of the backend server, which may start again under the id that it had.
@@ -68,6 +76,11 @@
 	ID string
 }
 
+// Evacuated is the state of evacuated availability zones that was read from the store.
+type Evacuated struct {
+	State evac.State
+}
+
 // StartRun asks the backend server to start a run.
 type StartRun struct {
 	Instance string
@@ -262,6 +275,8 @@
 	reportedAt      clock.Millis
 	// lastCancel is the number of the last relayed cancel that the dispatcher has been sent.
 	lastCancel uint64
+	// evacuated tracks which evacuated zones the dispatcher has heard of in this session.
+	evacuated evac.Session
 	// cancelled lists the dispatcher's cancels that another one has confirmed since the last report.
 	cancelled []string
 }
@@ -329,6 +344,12 @@
 	// cancels are relayed between dispatchers, oldest first; lastCancel is the number of the last one.
 	cancels    []cancel
 	lastCancel uint64
+	evacuated  evac.Register
+	// awaitsEvacuated says that no task is accepted until the evacuated zones are known or the time evacuatedBy.
+	awaitsEvacuated bool
+	evacuatedBy     clock.Millis
+	// warmUntil is when the backend server has its full speed.
+	warmUntil clock.Millis
 }
 
 // New creates the state machine of an agent without a backend server or sessions.
@@ -338,7 +359,7 @@
 	}
 	return &Machine{
 		cfg: cfg, fence: fence{token: cfg.Token, step: fenceStep}, departed: map[Incarnation]bool{}, peers: map[shard.ID]*peer{}, runs: map[string]*run{},
-		orphans: map[string]clock.Millis{},
+		orphans: map[string]clock.Millis{}, awaitsEvacuated: cfg.EvacuationWait > 0,
 	}
 }
 
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -13,6 +13,7 @@
 	m.now = now
 	m.out = nil
 	m.updateUsage()
+	m.checkEvacuationWait()
 	switch ev := ev.(type) {
 	case event.SessionUp:
 		m.handleSessionUp(ev)
@@ -24,6 +25,9 @@
 		}
 	case Announced:
 		m.handleAnnounced(ev.Instance)
+		m.recordWarmUp(ev.Instance)
+	case Evacuated:
+		m.learnEvacuated(ev.State, "store")
 	case InstanceLeft:
 		m.handleGone(ev.ID)
 	case StartDone:
@@ -92,7 +96,7 @@
 // accepting reports whether new tasks are accepted.
 func (m *Machine) accepting() bool {
 	in := m.instance
-	known := in != nil && !m.unannounced && !in.Draining && !m.leaving && m.settled
+	known := in != nil && !m.unannounced && !in.Draining && !m.leaving && m.settled && !m.evacuates(in)
 	return known && !m.lapsing && !m.stopping && m.now >= m.backoffUntil && m.health.accepting(len(m.runs))
 }
 
@@ -127,5 +131,6 @@
 	r.Accepting = m.accepting()
 	r.Pace = m.pace.value(m.now)
 	r.Settled = m.settled
+	r.WarmUpMS = m.warmUpLeft()
 	return r
 }
--- a/internal/runs/peer_controller.go
+++ b/internal/runs/peer_controller.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/evac"
 	"corianderspur.example/corianderspur/internal/event"
 	"corianderspur.example/corianderspur/internal/proto"
 	"corianderspur.example/corianderspur/internal/shard"
@@ -35,6 +36,7 @@
 	p.upAt = m.now
 	p.lastBegin = 0
 	p.lastCancel = 0
+	p.evacuated = evac.Session{}
 	p.full = true
 	p.dirty = true
 	m.note(event.Note{Name: "session_up", Peer: ev.Peer})
@@ -140,6 +142,10 @@
 	m.dropAckedEnds(p, o.AckedEnd)
 	m.updateWant(p, o)
 	m.handleCancels(p, o)
+	if o.Evacuated != nil {
+		p.evacuated.Heard(o.Evacuated.Version)
+		m.learnEvacuated(*o.Evacuated, string(p.id))
+	}
 	for _, ref := range o.Halts {
 		m.handleHalt(p, ref)
 	}
@@ -217,6 +223,7 @@
 		}
 		r.Cancels, p.lastCancel = m.unsentCancels(p), m.lastCancel
 		r.Cancelled, p.cancelled = p.cancelled, nil
+		r.Evacuated = p.evacuated.Due(&m.evacuated)
 		p.markSent()
 		m.emit(event.Send{To: id, Message: proto.Message{Report: &r}})
 	}
