--- a/internal/emul/check.go
+++ b/internal/emul/check.go
@@ -13,7 +13,9 @@
 	runningAt map[string]map[string]bool
 	finished  map[string]bool
 	// begun holds the tasks of which at least one run has begun.
-	begun      map[string]bool
+	begun map[string]bool
+	// startsAt counts the runs that have begun, by agent.
+	startsAt   map[string]int
 	violations []string
 }
 
@@ -32,6 +34,8 @@
 	if caller := c.world.callers[run.task[:jobIDLen]]; caller.refused {
 		c.failf("refused: %s begins after its caller was told that nothing runs", run.task)
 	}
+	c.startedIn(r.zone, run.task)
+	c.startsAt[r.agent]++
 	if c.runningAt[run.task] == nil {
 		c.runningAt[run.task] = map[string]bool{}
 	}
--- a/internal/emul/faults.go
+++ b/internal/emul/faults.go
@@ -15,6 +15,7 @@
 	w.scheduleJobs(length, failShare)
 	w.scheduleFaults(length)
 	w.scheduleReplacements(length)
+	w.scheduleEvacuations(length)
 	w.Run(length + 12*clock.Second)
 	return w
 }
--- a/internal/emul/runner.go
+++ b/internal/emul/runner.go
@@ -27,6 +27,7 @@
 type backend struct {
 	world *World
 	agent string
+	zone  string
 	id    string
 	born  int64
 	// origins holds when each incarnation's clock began to count, by the time of start that it names.
@@ -229,6 +230,7 @@
 // restart starts a new incarnation, under the same id or another.
 func (r *backend) restart(id string) {
 	fresh := newBackend(r.world, r.agent, id, r.total)
+	fresh.zone = r.zone
 	fresh.born = max(fresh.born, r.born+1)
 	if r.world.cfg.ReplaceEvery > 0 && r.world.rng.Float64() < clockStepShare {
 		if back := int64(1 + r.world.rng.IntN(clockStep)); back < r.born {
@@ -241,5 +243,5 @@
 }
 
 func (r *backend) instance(seq uint64) runs.Instance {
-	return runs.Instance{ID: r.id, Born: r.born, Service: service, Zone: "z", Total: r.total, Seq: seq}
+	return runs.Instance{ID: r.id, Born: r.born, Service: service, Zone: r.zone, Total: r.total, Seq: seq}
 }
--- a/internal/emul/world.go
+++ b/internal/emul/world.go
@@ -63,6 +63,9 @@
 	HalfOpenSessions float64
 	// ReplaceEvery is the mean time between replacements of backend servers in a drawn session, in milliseconds; zero draws none.
 	ReplaceEvery clock.Millis
+	// EvacuateEvery is the mean time between evacuations of availability zones and their ends in a drawn session, in milliseconds;
+	// zero draws none.
+	EvacuateEvery clock.Millis
 }
 
 // DefaultConfig returns a small deployment with the timeouts and intervals that the processes use by default.
@@ -92,6 +95,7 @@
 	plans    map[string]taskPlan
 	callers  map[string]*Caller
 	checker  *checker
+	zones    zones
 	// choices decides what is open in an explored session; nil in others.
 	choices *choices
 	// lastSerial is the last number given to a process incarnation or a caller's ticket.
@@ -110,12 +114,13 @@
 func New(cfg Config) *World {
 	w := &World{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), sessions: map[[2]string]*session{}, cutLinks: map[[2]string]bool{},
-		plans: map[string]taskPlan{}, callers: map[string]*Caller{},
+		plans: map[string]taskPlan{}, callers: map[string]*Caller{}, zones: zones{since: map[string]clock.Millis{}, cut: map[string]bool{}},
 	}
-	w.checker = &checker{world: w, runningAt: map[string]map[string]bool{}, finished: map[string]bool{}, begun: map[string]bool{}}
+	w.checker = &checker{world: w, runningAt: map[string]map[string]bool{}, finished: map[string]bool{}, begun: map[string]bool{}, startsAt: map[string]int{}}
 	for i := range cfg.Agents {
 		p := &proc{world: w, name: fmt.Sprintf("a%d", i), isAgent: true}
 		p.backend = newBackend(w, p.name, "r-"+p.name, cfg.Total)
+		p.backend.zone = zoneOf(i)
 		w.agents = append(w.agents, p)
 		w.startProc(p)
 		w.announceLoop(p)
@@ -226,6 +231,13 @@
 		p.machine = disp.New(cfg)
 	}
 	w.tickLoop(p, incarnation)
+	if w.zones.state.Version > 0 {
+		w.after(restoreTime, func() {
+			if p.incarnation == incarnation {
+				w.tellZones(p)
+			}
+		})
+	}
 	if p.isAgent && p.backend.up && w.now > 0 {
 		// The agent's stored row names the backend server that its previous incarnation knew.
 		w.after(restoreTime, func() {
