--- a/internal/cmds/operator.go
+++ b/internal/cmds/operator.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -80,6 +81,10 @@
 	clause.Arg("labels", "name=value or name-").Required().StringsVar(&lab.labels)
 	a.add(clause, lab)
 
+	for _, evacuate := range []bool{true, false} {
+		a.addEvacuate(evacuate)
+	}
+
 	status := &statusCommand{}
 	clause = a.kp.Command("status", "Show entries, agents, their load and the configuration in force.")
 	status.bind(a, clause)
@@ -196,6 +201,45 @@
 	return c.apply(ctx, d.Version, d, "", c.why)
 }
 
+func (a *App) addEvacuate(evacuate bool) {
+	name, help := "evacuate", "Start no more tasks in an availability zone until it is restored."
+	if !evacuate {
+		name, help = "restore", "Start tasks again in an evacuated availability zone."
+	}
+	c := &evacuateCommand{evacuate: evacuate}
+	clause := a.kp.Command(name, help)
+	c.bind(a, clause)
+	clause.Flag("why", "Why the change is made; kept in the history.").Required().StringVar(&c.why)
+	clause.Arg("zone", "Name of the availability zone.").Required().StringVar(&c.zone)
+	a.add(clause, c)
+}
+
+type evacuateCommand struct {
+	adminFlags
+	evacuate bool
+	zone     string
+	why      string
+}
+
+func (c *evacuateCommand) run(ctx context.Context) error {
+	d, err := c.current(ctx)
+	if err != nil {
+		return err
+	}
+	evacuated := slices.Contains(d.Evacuated, c.zone)
+	switch {
+	case c.evacuate && evacuated:
+		return &exitError{code: ExitUsage, err: errors.Errorf("availability zone %q is evacuated already", c.zone)}
+	case !c.evacuate && !evacuated:
+		return &exitError{code: ExitUsage, err: errors.Errorf("availability zone %q is not evacuated", c.zone)}
+	case c.evacuate:
+		d.Evacuated = append(d.Evacuated, c.zone)
+	default:
+		d.Evacuated = slices.DeleteFunc(d.Evacuated, func(z string) bool { return z == c.zone })
+	}
+	return c.apply(ctx, d.Version, d, "", c.why)
+}
+
 type statusCommand struct {
 	adminFlags
 	output string
@@ -219,6 +263,9 @@
 	fmt.Fprintf(w, "entry %s\tzone %s\tready %t\tstopping %t\n", s.ID, s.Zone, s.Ready, s.Stopping)
 	fmt.Fprintf(w, "configuration %d\tin force here for %.1fs\ttable answered %.1fs ago\n",
 		s.ConfigVersion, s.ConfigAge.Duration().Seconds(), s.TableAge.Duration().Seconds())
+	if len(s.EvacuatedZones) > 0 {
+		fmt.Fprintf(w, "evacuated zones %s\n", strings.Join(s.EvacuatedZones, ", "))
+	}
 	fmt.Fprintf(w, "shards owned %d\ttaking over %d\twith unknown starts %d\tmap %d\n",
 		s.ShardsOwned, s.ShardsTaking, s.ShardsWithUnknownStarts, s.MapVersion)
 	fmt.Fprintf(w, "jobs running %d\tremembered %d\tcallers %d\ttasks waiting %d urgent, %d other\n\n",
--- a/internal/entry/agent_choice.go
+++ b/internal/entry/agent_choice.go
@@ -32,7 +32,7 @@
 	if p == nil {
 		p = &pool{preferred: map[*agentView]bool{}}
 		for _, v := range c.views {
-			if v.described && !v.lost && selector.Matches(v.labels) {
+			if v.described && !v.lost && !c.config.policy.Evacuates(v.zone) && selector.Matches(v.labels) {
 				p.agents = append(p.agents, v)
 			}
 		}
--- a/internal/entry/config_controller.go
+++ b/internal/entry/config_controller.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 
 	"github.com/go-faster/errors"
 
@@ -94,10 +96,14 @@
 		c.emit(event.Note{Name: "configuration_refused", Reason: err.Error(), Version: d.Version})
 		return
 	}
+	before := c.policy.Document.Evacuated
 	c.policy = p
 	c.adoptedAt = c.now
 	c.changedHere = d.Version == c.writingVersion
 	c.emit(event.Note{Name: "configuration_adopted", Version: d.Version})
+	if !slices.Equal(before, d.Evacuated) {
+		c.emit(event.Note{Name: "zones_evacuated", Version: d.Version, Reason: strings.Join(d.Evacuated, ","), Class: d.Who})
+	}
 	c.onPolicy()
 }
 
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"slices"
+
 	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/policy"
 	"corianderspur.example/corianderspur/internal/proto"
@@ -43,6 +45,21 @@
 	NormalQueued            int                 `json:"normal_tasks_waiting"`
 	Agents                  []AgentStatus       `json:"agents"`
 	LostAgents              int                 `json:"agents_lost"`
+	EvacuatedZones          []string            `json:"evacuated_zones,omitempty"`
+}
+
+// Zones returns the availability zones of the known entries and agents, in alphabetical order.
+func (s *Status) Zones() []string {
+	zones := []string{s.Zone}
+	for _, m := range s.Members {
+		zones = append(zones, m.Zone)
+	}
+	for _, a := range s.Agents {
+		zones = append(zones, a.Zone)
+	}
+	zones = slices.DeleteFunc(zones, func(z string) bool { return z == "" })
+	slices.Sort(zones)
+	return slices.Compact(zones)
 }
 
 // Status returns the entry's view at the given time in milliseconds.
@@ -54,7 +71,8 @@
 		ConfigVersion: m.config.Version(), ConfigAge: now - m.config.adoptedAt, TableAge: now - m.maps.tableRepliedAt,
 		Jobs: len(m.jobs.jobs), Live: len(m.jobs.live), Callers: m.routes.Callers(),
 		Shards: map[shard.ID]int{}, Configs: map[shard.ID]uint64{m.cfg.ID: m.config.Version()},
-		UrgentQueued: m.dispatch.Len(true), NormalQueued: m.dispatch.Len(false),
+		EvacuatedZones: m.config.policy.Document.Evacuated,
+		UrgentQueued:   m.dispatch.Len(true), NormalQueued: m.dispatch.Len(false),
 	}
 	if m.maps.current != nil {
 		s.MapVersion = m.maps.current.Version
--- a/internal/policy/document.go
+++ b/internal/policy/document.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"corianderspur.example/corianderspur/internal/evac"
 	"corianderspur.example/corianderspur/pkg/label"
 )
 
@@ -16,6 +17,7 @@
 	MaxTenants  = 1000
 	MaxAttempts = 5
 	MaxWorkers  = 10000
+	MaxZones    = 256
 )
 
 // Document is the operators' configuration; it is replaced only as a whole and only by a higher version.
@@ -27,6 +29,8 @@
 	Rules    []Rule               `json:"rules" cbor:"rules"`
 	Tenants  []Tenant             `json:"tenants" cbor:"tenants"`
 	Workers  map[string]label.Set `json:"worker_labels,omitempty" cbor:"worker_labels,omitempty"`
+	// Evacuated lists the availability zones in which no task is started.
+	Evacuated []string `json:"evacuated_zones,omitempty" cbor:"evacuated_zones,omitempty"`
 }
 
 // Rule defines how requests whose labels match its request selector are handled; the first matching rule applies.
@@ -98,6 +102,7 @@
 	if len(d.Workers) > MaxWorkers {
 		f.add(fmt.Sprintf("%d entries, at most %d allowed", len(d.Workers), MaxWorkers), "worker_labels")
 	}
+	d.validateEvacuated(&f)
 	d.validateRules(&f)
 	d.validateTenants(&f)
 	for name, labels := range d.Workers {
@@ -112,6 +117,20 @@
 	return &InvalidError{Fields: f}
 }
 
+func (d *Document) validateEvacuated(f *fieldErrors) {
+	if len(d.Evacuated) > MaxZones {
+		f.add(fmt.Sprintf("%d entries, at most %d allowed", len(d.Evacuated), MaxZones), "evacuated_zones")
+	}
+	for i, zone := range d.Evacuated {
+		if !evac.IsName(zone) {
+			f.add(fmt.Sprintf("want 1 to %d bytes", evac.MaxName), "evacuated_zones[%d]", i)
+		}
+		if slices.Contains(d.Evacuated[:i], zone) {
+			f.add("zone used twice", "evacuated_zones[%d]", i)
+		}
+	}
+}
+
 func (d *Document) validateRules(f *fieldErrors) {
 	seen := map[string]bool{}
 	for i, r := range d.Rules {
@@ -233,6 +252,11 @@
 	return own.Merge(p.Document.Workers[name])
 }
 
+// Evacuates reports whether no task may be started in an availability zone.
+func (p *Policy) Evacuates(zone string) bool {
+	return slices.Contains(p.Document.Evacuated, zone)
+}
+
 // ForTenant returns the part of a document that one tenant may see: its own limits, without rules or workers.
 func (d *Document) ForTenant(name string) Document {
 	part := Document{Version: d.Version}
--- a/internal/rest/admin.go
+++ b/internal/rest/admin.go
@@ -4,7 +4,9 @@
 	"context"
 	"crypto/subtle"
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -143,6 +145,10 @@
 		return
 	}
 	in.Document.Who = tokenOf(r).Who
+	if unknown := h.unknownZones(in.Document); len(unknown) > 0 {
+		writeJSON(w, http.StatusBadRequest, Refusal{Error: "invalid configuration", Fields: unknown})
+		return
+	}
 	version, err := h.admin.Apply(r.Context(), in.Base, in.Document)
 	var invalid *policy.InvalidError
 	var conflict *ConflictError
@@ -158,6 +164,24 @@
 	}
 }
 
+// unknownZones returns an error for each availability zone that a document evacuates, the present one doesn't, and no entry or agent
+// is in.
+func (h *AdminHandler) unknownZones(d *policy.Document) (list []policy.FieldError) {
+	if len(d.Evacuated) == 0 {
+		return nil
+	}
+	status := h.admin.Status()
+	known := status.Zones()
+	for i, zone := range d.Evacuated {
+		if !slices.Contains(known, zone) && !slices.Contains(h.admin.Config().Evacuated, zone) {
+			list = append(list, policy.FieldError{
+				Path: fmt.Sprintf("evacuated_zones[%d]", i), Reason: fmt.Sprintf("unknown availability zone %q; known are %s", zone, strings.Join(known, ", ")),
+			})
+		}
+	}
+	return list
+}
+
 func (h *AdminHandler) history(w http.ResponseWriter, r *http.Request) {
 	changes, err := h.admin.History(r.Context())
 	if err != nil {
