--- a/internal/disp/agent_controller.go
+++ b/internal/disp/agent_controller.go
@@ -188,7 +188,7 @@
 	v.warmUntil = m.now + r.WarmUpMS
 	if r.Evacuated != nil {
 		v.evacuated.Heard(r.Evacuated.Version)
-		m.learnEvacuated(*r.Evacuated, string(v.id))
+		m.learnEvacuated(*r.Evacuated, v.id)
 	}
 	if r.Facts != nil {
 		v.facts = *r.Facts
--- a/internal/disp/evacuate_controller.go
+++ b/internal/disp/evacuate_controller.go
@@ -10,13 +10,13 @@
 )
 
 // learnEvacuated takes a newer state of the evacuated availability zones, passes it on to all agents at once if other zones are
-// evacuated now, and refuses the waiting jobs that nobody can serve any more.
-func (m *Machine) learnEvacuated(s evac.State, from string) {
+// evacuated now, and refuses the waiting jobs that nobody can serve any more. The sender is empty for the store.
+func (m *Machine) learnEvacuated(s evac.State, from shard.ID) {
 	if !m.evacuated.Learn(s) {
 		return
 	}
 	zones := m.evacuated.State().Zones
-	m.note(event.Note{Name: "zones_evacuated", Version: s.Version, Reason: strings.Join(zones, ","), Class: from, Count: len(m.evacuatedMembers())})
+	m.note(event.Note{Name: "zones_evacuated", Version: s.Version, Reason: strings.Join(zones, ","), Peer: from, Count: len(m.evacuatedMembers())})
 	m.noteUnknownZones(zones)
 	for _, id := range m.agentIDs() {
 		if v := m.agents[id]; v.downAt == 0 {
--- a/internal/disp/machine.go
+++ b/internal/disp/machine.go
@@ -30,7 +30,7 @@
 	case Members:
 		m.setMembers(ev.Agents)
 	case Evacuated:
-		m.learnEvacuated(ev.State, "store")
+		m.learnEvacuated(ev.State, "")
 	case Submit:
 		m.submit(ev)
 	case CallerLeft:
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -126,6 +126,8 @@
 		m.wait.Record(ctx, int64(n.Took), metric.WithAttributes(class, m.tenant(n.Tenant)))
 	case "configuration_adopted":
 		m.version.Record(ctx, int64(n.Version))
+	case "zones_evacuated", "evacuated_zone_unknown":
+		reason, count = "", 1
 	case "map_unreadable", "configuration_unreadable", "configuration_refused", "map_unencodable", "job_accepted":
 		reason = ""
 	}
--- a/internal/runs/evacuate_controller.go
+++ b/internal/runs/evacuate_controller.go
@@ -6,17 +6,18 @@
 	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/evac"
 	"corianderspur.example/corianderspur/internal/event"
+	"corianderspur.example/corianderspur/internal/shard"
 )
 
 // learnEvacuated takes a newer state of the evacuated availability zones. Runs at work in an evacuated zone go on; queued ones are
-// returned, and all dispatchers are told at once.
-func (m *Machine) learnEvacuated(s evac.State, from string) {
+// returned, and all dispatchers are told at once. The sender is empty for the store.
+func (m *Machine) learnEvacuated(s evac.State, from shard.ID) {
 	before := m.accepting()
 	changed := m.evacuated.Learn(s)
 	m.awaitsEvacuated = m.awaitsEvacuated && !m.evacuated.Known()
 	if changed {
 		zones := m.evacuated.State().Zones
-		m.note(event.Note{Name: "zones_evacuated", Version: s.Version, Reason: strings.Join(zones, ","), Class: from, Count: len(zones)})
+		m.note(event.Note{Name: "zones_evacuated", Version: s.Version, Reason: strings.Join(zones, ","), Peer: from, Count: len(zones)})
 		if m.instance != nil && m.evacuates(m.instance) {
 			m.rejectAllQueued()
 		}
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -27,7 +27,7 @@
 		m.handleAnnounced(ev.Instance)
 		m.recordWarmUp(ev.Instance)
 	case Evacuated:
-		m.learnEvacuated(ev.State, "store")
+		m.learnEvacuated(ev.State, "")
 	case InstanceLeft:
 		m.handleGone(ev.ID)
 	case StartDone:
--- a/internal/runs/peer_controller.go
+++ b/internal/runs/peer_controller.go
@@ -144,7 +144,7 @@
 	m.handleCancels(p, o)
 	if o.Evacuated != nil {
 		p.evacuated.Heard(o.Evacuated.Version)
-		m.learnEvacuated(*o.Evacuated, string(p.id))
+		m.learnEvacuated(*o.Evacuated, p.id)
 	}
 	for _, ref := range o.Halts {
 		m.handleHalt(p, ref)
