--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -53,6 +53,8 @@
 signal() { kill "-$2" "${PIDS[$1]}" 2>/dev/null || true; }
 end_all() {
   for name in "${!PIDS[@]}"; do kill -CONT "${PIDS[$name]}" 2>/dev/null && kill -KILL "${PIDS[$name]}" 2>/dev/null; done || true
+  # Ports stay taken until the processes are gone.
+  wait 2>/dev/null || true
 }
 trap end_all EXIT
 some_process() {
