Ask for overdue answers instead of waiting for the timeout of orders

Cause: a start without an answer was waited for 40 ms, stopped, polled for and sent again, and an end behind a poll whose answer was lost was known only when the poll had timed out, up to 190 ms after it was sent. Change: an answer that is overdue by the backend server's usual answer times is asked for by a probe, a poll that is answered at once and renews nothing. A listed start is confirmed; one that two lists lack is stopped, and settled by the stop's answer and a list as before. Stops are repeated early while the server answers. The emulator loses answers too (TestDrawnFaultsBesideLostAnswers).

--- a/internal/emul/drawn_test.go
+++ b/internal/emul/drawn_test.go
@@ -127,6 +127,17 @@
 	}
 }
 
+// Answers are lost beside orders that are carried out late: what is repeated, asked for and begun elsewhere must hold every promise.
+func TestDrawnFaultsBesideLostAnswers(t *testing.T) {
+	t.Parallel()
+	checkDrawn(t, func(seed uint64) Config {
+		cfg := DefaultConfig(seed)
+		cfg.LostShare, cfg.LateShare, cfg.LateOutlives = []float64{0.05, 0.2, 0.4}[seed%3], []float64{0, 0.06}[seed%2], *outlive
+		cfg.Jitter, cfg.ReplaceEvery = []clock.Millis{0, 15}[seed/2%2], []clock.Millis{0, 1000}[seed/4%2]
+		return cfg
+	})
+}
+
 // Requests are executed late by less than a lease, among them those of agents that have ended meanwhile.
 func TestDrawnFaultsBesideSlightlyLateOrders(t *testing.T) {
 	t.Parallel()
--- a/internal/emul/orders.go
+++ b/internal/emul/orders.go
@@ -40,6 +40,10 @@
 			return
 		}
 		ev := perform(p.backend)
+		if w.losesAnswer() {
+			w.after(timeout, func() { answer(noAnswer) })
+			return
+		}
 		w.after(w.requestDelay(), func() { answer(ev) })
 	})
 }
@@ -120,9 +124,18 @@
 		w.after(pollInterval, func() { w.waitPoll(p, o, until, waitEnd, incarnation) })
 		return
 	}
+	if w.losesAnswer() {
+		w.after(max(o.At+o.Timeout-w.now, 0), func() { w.deliverPoll(p, incarnation, runs.PollDone{Number: o.Number, Outcome: runs.OrderUnknown}) })
+		return
+	}
 	w.after(w.requestDelay(), func() { w.deliverPoll(p, incarnation, l) })
 }
 
+// losesAnswer draws whether the answer to a request that was executed is lost.
+func (w *World) losesAnswer() bool {
+	return w.cfg.LostShare > 0 && w.rng.Float64() < w.cfg.LostShare
+}
+
 func (w *World) deliverPoll(p *proc, incarnation int, l runs.PollDone) {
 	if p.incarnation == incarnation {
 		p.push(l)
--- a/internal/emul/proc.go
+++ b/internal/emul/proc.go
@@ -83,6 +83,13 @@
 		w.deliverReply(p, a)
 	case runs.StartRun:
 		w.requestStart(p, a)
+	case runs.Wake:
+		incarnation := p.incarnation
+		w.after(a.After, func() {
+			if p.incarnation == incarnation {
+				p.push(event.Tick{})
+			}
+		})
 	case runs.HaltRun:
 		w.requestHalt(p, a)
 	case runs.Poll:
--- a/internal/emul/world.go
+++ b/internal/emul/world.go
@@ -40,6 +40,8 @@
 	Keeper     runs.Config
 	// LateShare is the fraction of requests to backend servers that get no answer and are executed late.
 	LateShare float64
+	// LostShare is the fraction of requests that are executed as usual and whose answer is lost.
+	LostShare float64
 	// LateMin and LateRange say how late such requests are executed: LateMin and a random part of LateRange, in milliseconds.
 	LateMin, LateRange clock.Millis
 	// LateOutlives says that such a request is executed by the next incarnation of the backend server if that has the same id;
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
@@ -122,6 +123,8 @@
 		go func() { k.loop.Push(k.runner.Halt(k.ctx, a)) }()
 	case runs.Poll:
 		go func() { k.loop.Push(k.runner.Poll(k.ctx, a)) }()
+	case runs.Wake:
+		time.AfterFunc(a.After.Duration(), func() { k.loop.Push(event.Tick{}) })
 	case event.Note:
 		k.notes.take(a)
 	case event.Exit:
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -211,6 +211,13 @@
 	firstPoll uint64
 	// startUncertain says that the start got no answer, so the run may still appear.
 	startUncertain bool
+	// startPending says that the start may still be answered.
+	startPending bool
+	// startPoll is the number of the first poll sent after the start, and absent how many lists of such polls lack the run.
+	startPoll uint64
+	absent    int
+	// haltRepeats counts the repeated stops.
+	haltRepeats int
 	// estimate is the estimated run time in milliseconds; polledPercent and polledAt are the progress of the last poll.
 	estimate      clock.Millis
 	polledPercent float64
@@ -318,8 +325,13 @@
 	exited        bool
 	backoffUntil  clock.Millis
 	health        health
-	usage         usage
-	pace          pace
+	answers       answerTimes
+	probing       probing
+	// answeredAt is when the backend server last answered, and lossyUntil how long it counts as one that loses answers.
+	answeredAt clock.Millis
+	lossyUntil clock.Millis
+	usage      usage
+	pace       pace
 	// offerRound counts the times that capacity became free, lastOffer the offers; nextOfferAt is when the next may be made, and
 	// offering says that there is capacity to offer.
 	offerRound  uint64
--- a/internal/runs/incarnation_controller.go
+++ b/internal/runs/incarnation_controller.go
@@ -53,7 +53,7 @@
 	m.settled = false
 	m.lastEndSeen, m.lastEndAcked = 0, 0
 	// The pending poll may have been answered by the old incarnation.
-	m.poll = nil
+	m.poll, m.probing.poll = nil, nil
 	clear(m.orphans)
 	for _, task := range m.sortedTasks() {
 		m.enterIncarnation(m.runs[task])
@@ -92,7 +92,7 @@
 
 // verifyIncarnation makes a new poll decide which incarnation of the backend server is there; nothing is accepted until then.
 func (m *Machine) verifyIncarnation() {
-	m.poll = nil
+	m.poll, m.probing.poll = nil, nil
 	m.settled = false
 	m.markAllDirty()
 }
@@ -123,9 +123,10 @@
 	m.lastEndSeen = 0
 	m.lastEndAcked = 0
 	m.settled = false
-	m.poll = nil
+	m.poll, m.probing.poll = nil, nil
 	m.backoffUntil = 0
 	m.health = health{}
+	m.answers = answerTimes{}
 	m.pace = pace{}
 	clear(m.orphans)
 	m.note(event.Note{Name: "backend_server", Instance: in.ID, Count: int(in.Total.CPU)})
@@ -166,6 +167,6 @@
 	m.instance = nil
 	m.leaving = false
 	m.settled = false
-	m.poll = nil
+	m.poll, m.probing.poll = nil, nil
 	m.markAllFull()
 }
--- a/internal/runs/lease_controller.go
+++ b/internal/runs/lease_controller.go
@@ -108,11 +108,10 @@
 }
 
 func (m *Machine) handlePollDone(ev PollDone) {
-	if m.poll == nil || ev.Number != m.poll.Number {
+	poll := m.takeAnswered(ev)
+	if poll == nil {
 		return
 	}
-	poll := m.poll
-	m.poll = nil
 	switch {
 	case ev.Outcome == OrderGone:
 		m.handleInstanceLost()
@@ -123,6 +122,9 @@
 	case ev.Outcome != OrderDone:
 		m.nextPollAt = m.now + m.pollPause()
 		m.countUnanswered()
+		if ev.Outcome == OrderUnknown {
+			m.lossyUntil = m.now + unansweredSpan
+		}
 		if ev.Outcome == OrderUnreachable {
 			m.handleUnreachable()
 		}
@@ -137,6 +139,7 @@
 	}
 	m.olderBorn, m.olderAnswers = 0, 0
 	m.health.resetUnanswered()
+	m.noteAnswered()
 	m.fence.accepted = true
 	if ev.Born != m.instance.Born {
 		m.changeIncarnation(ev.Born)
@@ -167,7 +170,7 @@
 		return
 	}
 	m.note(event.Note{Name: "backend_server_unreachable", Instance: m.instance.ID, Count: len(m.runs)})
-	m.endRuns("backend_server_gone", func(r *run) bool { return r.phase != starting })
+	m.endRuns("backend_server_gone", func(r *run) bool { return !r.startPending })
 	m.awaited = m.instance
 	m.fence.raise()
 	m.forgetInstance()
@@ -214,6 +217,9 @@
 		listed[r.Task] = r.Run
 		if own := m.runs[r.Task]; own != nil && own.run == r.Run {
 			own.incarnation = ev.Born
+			if own.phase == starting {
+				m.confirmStart(own)
+			}
 		}
 		m.stopOrphan(r)
 		m.checkProgress(r)
@@ -238,6 +244,7 @@
 		m.note(event.Note{Name: "settled", Reason: yesNo(settled), Count: len(m.orphans)})
 		m.markAllDirty()
 	}
+	m.checkAbsent(ev.Number, listed)
 }
 
 func yesNo(b bool) string {
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -59,6 +59,7 @@
 		m.expireLease()
 	}
 	m.checkPollTimeout()
+	m.checkAnswers()
 	m.expireCancels()
 	if m.stopping && !m.exited && (len(m.runs) == 0 || m.now >= m.drainDeadline) && m.endsDelivered() {
 		m.exited = true
--- a/internal/runs/run_controller.go
+++ b/internal/runs/run_controller.go
@@ -35,6 +35,8 @@
 func (m *Machine) startRun(r *run) {
 	r.phase = starting
 	r.startedAt = m.now
+	r.startPending = true
+	r.startPoll = m.lastPoll + 1
 	m.usage.capacityReused(m.now)
 	m.used = m.used.Plus(r.need)
 	m.leaseRenewedAt = m.now
@@ -42,6 +44,7 @@
 		Instance: m.instance.ID, Born: m.instance.Born, Task: r.task, Run: r.run, Token: m.fence.token, Spec: r.spec, At: m.now,
 		Lease: m.cfg.Lease, Timeout: m.cfg.OrderTimeout,
 	})
+	m.wakeForAnswer()
 }
 
 // refusal returns why a task is refused, or an empty string.
@@ -59,12 +62,17 @@
 
 func (m *Machine) handleStartDone(ev StartDone) {
 	if ev.Outcome == OrderUnknown {
-		m.unansweredUntil = m.now + unansweredSpan
+		m.noteUnanswered()
 	}
 	r := m.runs[ev.Task]
 	if r == nil || r.run != ev.Run {
 		return
 	}
+	r.startPending = false
+	if ev.Outcome == OrderDone {
+		m.noteAnswered()
+		m.answers.observe(m.now - r.startedAt)
+	}
 	if ev.Born != 0 {
 		// Set before checkIncarnation, which would otherwise end a new incarnation's own run as one of the old.
 		r.incarnation = ev.Born
@@ -74,6 +82,10 @@
 	case OrderDone:
 		m.confirmStart(r)
 	case OrderUnknown:
+		if r.confirmed {
+			m.note(event.Note{Name: "start_answer_lost", Job: r.task, Peer: r.peer})
+			return
+		}
 		m.note(event.Note{Name: "start_unanswered", Job: r.task, Peer: r.peer})
 		m.countUnanswered()
 		r.startUncertain = true
@@ -82,7 +94,9 @@
 		// The next heartbeat of the backend server or the end of the lease decides what became of its runs.
 		m.haltRun(r)
 	default:
-		m.rejectStart(r, ev.Outcome)
+		if !r.confirmed {
+			m.rejectStart(r, ev.Outcome)
+		}
 	}
 }
 
@@ -128,11 +142,13 @@
 		return
 	}
 	m.emit(HaltRun{Instance: m.instance.ID, Task: r.task, Run: r.run, Token: m.fence.token, Timeout: m.cfg.OrderTimeout})
+	m.wakeForAnswer()
 }
 
 // retryHalt repeats a stop that got no answer.
 func (m *Machine) retryHalt(r *run) {
-	if r.phase == stopping && !r.halted && m.now-r.haltSentAt > m.cfg.OrderTimeout {
+	if r.phase == stopping && !r.halted && m.now-r.haltSentAt > m.haltLimit(r) {
+		r.haltRepeats++
 		m.sendHalt(r)
 	}
 }
@@ -145,6 +161,7 @@
 	if r == nil || r.run != ev.Run || ev.Outcome != OrderDone {
 		return
 	}
+	m.noteAnswered()
 	r.halted = true
 	// A poll sent after the stop was answered lists the end.
 	r.firstPoll = m.lastPoll + 1
