Emulator: late orders end with the process that received them

Cause: the emulator kept late orders beyond their process. PROTOCOL: a call without an answer "may also be executed seconds later", but "a runner may start again under the id that it had. It then holds and knows nothing of before"; and an order under way ends with its connection (TestStartEndsWithTheProcessThatItWasSentTo, over real sockets). "Any other incarnation responds with 421" adds no third way.

The safeguards (the poll kept open, the raised token) and their tests stay.

--- a/internal/emul/explore.go
+++ b/internal/emul/explore.go
@@ -96,7 +96,7 @@
 // explored plays a session of two entries and some agents with a backend server each. All but its path of deviations is usual.
 func explored(agents int, path []Deviation, verbose bool) (w *World, options []int) {
 	cfg := DefaultConfig(1)
-	cfg.Entries, cfg.Agents, cfg.LateOutlives = 2, agents, false
+	cfg.Entries, cfg.Agents = 2, agents
 	cfg.Latency, cfg.LateMin, cfg.LateRange = 8, 50, 1
 	w = New(cfg)
 	w.Verbose = verbose
--- a/internal/emul/world.go
+++ b/internal/emul/world.go
@@ -43,7 +43,7 @@
 	// LateMin and LateRange say how late such requests are executed: LateMin and a random part of LateRange, in milliseconds.
 	LateMin, LateRange clock.Millis
 	// LateOutlives says that such a request is executed by the next incarnation of the backend server if that has the same id;
-	// otherwise it ends with the one that it was sent to.
+	// otherwise it ends with the one that it was sent to, as it does on real backend servers.
 	LateOutlives bool
 	// Jitter is how much longer a request to a backend server or its answer may take, in milliseconds: they overtake each other.
 	Jitter clock.Millis
@@ -69,7 +69,7 @@
 func DefaultConfig(seed uint64) Config {
 	return Config{
 		Seed: seed, Entries: 3, Agents: 4, Total: room.Resources{CPU: 32000, MemMB: 64000}, HoldMost: maxLease, Latency: 1,
-		LateMin: 2 * clock.Second, LateRange: 10 * clock.Second, LateOutlives: true,
+		LateMin: 2 * clock.Second, LateRange: 10 * clock.Second,
 		Dispatcher: disp.Config{
 			Beat: 100, Silence: 400, IdleBeat: 400, IdleSilence: 1000, Lease: 800, ReattachTimeout: 200, AnswerMargin: 60, DrainLimit: 5000,
 		},
