--- a/internal/study/load.go
+++ b/internal/study/load.go
@@ -86,10 +86,11 @@
 	From clock.Millis
 }
 
-// Surge multiplies the rate of arrivals during a time.
+// Surge multiplies the rate of arrivals during a time, of one kind if it names one.
 type Surge struct {
 	From, To clock.Millis
 	Factor   float64
+	Kind     string
 }
 
 // Pattern is a load pattern from which sessions are drawn.
@@ -101,6 +102,8 @@
 	Surges  []Surge
 	// Bias is the factor by which all estimates are wrong; 0 stands for 1.
 	Bias float64
+	// Tail is the share of the jobs that run tailFactor times as long as others of their kind.
+	Tail float64
 }
 
 // Spreads of the logarithms of drawn values, the objective by run time, and the worth by size and time.
@@ -110,6 +113,7 @@
 	needSpread     = 0.2
 	estimateSpread = 0.4
 	unevenSpread   = 0.15
+	tailFactor     = 7
 	stretch        = 1.6
 	slo            = 60 * clock.Millis(1)
 	// minWorthShare is the part of a job's worth that doesn't depend on its size.
@@ -130,7 +134,7 @@
 	l := &Load{Pattern: p.Name, Seed: seed, Entries: p.Entries, Length: Length, Servers: p.Servers}
 	for _, k := range p.Kinds {
 		for at := float64(k.From); ; {
-			at += rng.ExpFloat64() * 1000 / (k.Rate * p.surge(clock.Millis(at)))
+			at += rng.ExpFloat64() * 1000 / (k.Rate * p.surge(k.Name, clock.Millis(at)))
 			if at >= float64(Length) {
 				break
 			}
@@ -141,9 +145,9 @@
 	return l
 }
 
-func (p Pattern) surge(at clock.Millis) float64 {
+func (p Pattern) surge(kind string, at clock.Millis) float64 {
 	for _, s := range p.Surges {
-		if at >= s.From && at < s.To {
+		if at >= s.From && at < s.To && (s.Kind == "" || s.Kind == kind) {
 			return s.Factor
 		}
 	}
@@ -152,6 +156,9 @@
 
 func (p Pattern) drawJob(rng *rand.Rand, k Kind, at clock.Millis) Job {
 	work := spread(rng, k.Work, workSpread)
+	if p.Tail > 0 && rng.Float64() < p.Tail {
+		work *= tailFactor
+	}
 	bias := p.Bias
 	if bias == 0 {
 		bias = 1
