Learn a backend server's normal speed apart from trouble, and count the room that a job can use in time

Cause: a server below two thirds of the median pace counted as slow for everyone: left out of the free room and chosen last. Where a quarter of the servers always runs at half of the speed of the others, a quarter of the deployment was used last, also by short tasks that are in time there. Run times at slow servers lengthened what their kind was expected to take elsewhere. Ruled out: a preference of tasks with slack for slow servers (no gain), counting room at slow servers against the reservation (none). The free room of a job is what is free where it is in time. Seen red on the code before (without the new fields): TestRoomIsWhatAJobCanUseInTime, TestRunTimesAtASlowServerAreNoMeasureOfTheKind.

--- a/internal/disp/common.go
+++ b/internal/disp/common.go
@@ -192,7 +192,10 @@
 	lastEnd    uint64
 	echo       echo
 	// pace is the agent's measure of its backend server's speed; zero is unknown.
-	pace        float64
+	pace float64
+	// normalPace is the pace that is normal for that backend server, and slow its slowness when work was last placed; zero is unknown.
+	normalPace  float64
+	slow        float64
 	failureRate float64
 	// downAt is when the session was lost; zero while it is up.
 	downAt clock.Millis
--- a/internal/disp/job_controller.go
+++ b/internal/disp/job_controller.go
@@ -251,7 +251,7 @@
 	if r == Refused {
 		n.RetryAfter = retryAfter
 		m.addDecisionInputs(&n, j.Service)
-		n.Binding = m.binding(j)
+		n.Binding, n.Usable = m.binding(j)
 	}
 	m.note(n)
 	if r == Completed || r == Failed || r == Cancelled {
--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -1,6 +1,7 @@
 package disp
 
 import (
+	"math"
 	"slices"
 
 	"corianderspur.example/corianderspur/internal/event"
@@ -14,8 +15,9 @@
 type pool struct {
 	views      []*agentView
 	candidates []place.Candidate
-	free       room.Resources
-	total      room.Resources
+	// claimed is what the jobs placed so far need for their tasks without room.
+	claimed room.Resources
+	total   room.Resources
 	// full says that an earlier job did not get room for all of its tasks.
 	full bool
 }
@@ -61,21 +63,42 @@
 
 func (m *Machine) poolOf(views []*agentView) *pool {
 	p := &pool{views: views}
-	normal := normalPace(views)
+	paces := mediansOf(views)
 	for _, v := range views {
 		c := place.Candidate{
-			ID: v.id, Free: v.estimatedFree(), Total: v.facts.Total, Labels: v.facts.Labels, Slow: v.slowness(normal), Failing: v.failureRate,
+			ID: v.id, Free: v.estimatedFree(), Total: v.facts.Total, Labels: v.facts.Labels, Failing: v.failureRate,
 			Remote: m.cfg.Zone != "" && v.facts.Zone != m.cfg.Zone,
 		}
+		c.Slow, c.Steady = v.slowness(paces)
+		v.slow = c.Slow
 		p.candidates = append(p.candidates, c)
-		p.total = p.total.Plus(c.Total)
-		if c.Free.CPU > 0 && c.Slow == 1 {
-			p.free = p.free.Plus(c.Free)
-		}
+		p.total = p.total.Plus(c.Total.Times(1 / c.Slow))
 	}
 	return p
 }
 
+// freeFor returns the free capacity at the agents that are slower than elsewhere by no more than a factor, less what earlier jobs
+// have claimed.
+func (p *pool) freeFor(maxSlow float64) (free room.Resources) {
+	for _, c := range p.candidates {
+		if c.Free.CPU > 0 && c.Slow <= maxSlow {
+			free = free.Plus(c.Free)
+		}
+	}
+	return free.Minus(p.claimed)
+}
+
+// usefulSlowness returns the slowness up to which the waiting tasks of a job are done in time, 1 at the least.
+func (m *Machine) usefulSlowness(j *job) float64 {
+	useful := math.Inf(1)
+	for _, t := range j.tasks {
+		if t.state == waiting {
+			useful = min(useful, max(m.maxSlowness(j, j.Steps[t.step]), 1))
+		}
+	}
+	return useful
+}
+
 // placeJob sends the waiting tasks of a job, and reports whether later jobs may be placed as if all of them had room. A job of
 // which nothing has begun is sent all or nothing unless it is the first that lacks room: small jobs behind that one would take
 // each slot before enough are free for a wide job.
@@ -100,9 +123,12 @@
 	m.setHeld(j, candidates)
 	chosen := place.Choose(candidates, needs, m.rng)
 	missing := all - len(tasks)
-	for _, c := range chosen {
+	claimed := j.waitingNeed()
+	for i, c := range chosen {
 		if c < 0 {
 			missing++
+		} else {
+			claimed = claimed.Minus(needs[i].Need)
 		}
 	}
 	if missing > 0 && (allOrNothing || (near && !j.queued.Started)) {
@@ -110,7 +136,7 @@
 		return near
 	}
 	p.candidates = candidates
-	p.free = p.free.Minus(j.waitingNeed())
+	p.claimed = p.claimed.Plus(claimed)
 	begun := j.queued.Started
 	m.sendBegins(j, tasks, chosen, p.views)
 	m.updateQueued(j)
@@ -123,23 +149,25 @@
 // budget returns the capacity that a job may use. Where some is reserved for jobs of the first priority, only CPU of which
 // a task of theirs can use all counts.
 func (m *Machine) budget(j *job, p *pool) room.Resources {
+	maxSlow := m.usefulSlowness(j)
+	free := p.freeFor(maxSlow)
 	g := m.guards[j.Service]
 	if g == nil {
-		return p.free
+		return free
 	}
 	reserved := g.Reserved(m.now, j.queued, j.largestNeed(), p.total)
 	if reserved == (room.Resources{}) {
-		return p.free
+		return free
 	}
-	usable := p.free
-	usable.CPU = p.wholeTasksCPU(g.TaskNeed())
-	return usable.Minus(reserved)
+	free.CPU = p.wholeTasksCPU(g.TaskNeed(), maxSlow) - p.claimed.CPU
+	return free.Minus(reserved)
 }
 
-// wholeTasksCPU returns the free CPU that tasks of a need can use, in thousandths of a core.
-func (p *pool) wholeTasksCPU(need room.Resources) (sum int64) {
+// wholeTasksCPU returns the free CPU that tasks of a need can use at the agents that are slower than elsewhere by no more than a
+// factor, in thousandths of a core.
+func (p *pool) wholeTasksCPU(need room.Resources, maxSlow float64) (sum int64) {
 	for _, c := range p.candidates {
-		if need.CPU > 0 && c.Free.CPU > 0 && c.Slow == 1 {
+		if need.CPU > 0 && c.Free.CPU > 0 && c.Slow <= maxSlow {
 			sum += c.Free.CPU / need.CPU * need.CPU
 		}
 	}
@@ -257,17 +285,21 @@
 	}
 }
 
-// binding returns what keeps a waiting job from being placed, by the room that this dispatcher knows of.
-func (m *Machine) binding(j *job) string {
+// binding returns what keeps a waiting job from being placed, by the room that this dispatcher knows of, and the CPU of that room
+// which the job could use in time.
+func (m *Machine) binding(j *job) (what string, usable int64) {
 	p := m.newPool(j.Service)
 	_, needs := m.waitingTasks(j, false)
+	free := p.freeFor(m.usefulSlowness(j))
 	switch {
-	case !p.free.Fits(j.waitingNeed()):
-		return "full"
+	case !free.Fits(j.waitingNeed()):
+		what = "full"
 	case slices.Contains(place.Choose(slices.Clone(p.candidates), needs, m.rng), -1):
-		return "fragments"
+		what = "fragments"
 	case !m.budget(j, p).Fits(j.waitingNeed()):
-		return "reservation"
+		what = "reservation"
+	default:
+		what = "order"
 	}
-	return "order"
+	return what, free.CPU
 }
--- a/internal/disp/place_controller_test.go
+++ b/internal/disp/place_controller_test.go
@@ -30,10 +30,13 @@
 func TestWrongEstimatesMakeNoBackendServerSlow(t *testing.T) {
 	views := []*agentView{{pace: 0.3}, {pace: 0.35}, {pace: 0.28}, {}}
 	for _, v := range views {
-		qt.Check(t, v.slowness(normalPace(views)), qt.Equals, 1.0)
+		slow, _ := v.slowness(mediansOf(views))
+		qt.Check(t, slow, qt.Equals, 1.0)
 	}
 	views[2].pace = 0.075
-	qt.Check(t, views[2].slowness(normalPace(views)), qt.Equals, 4.0)
+	slow, steady := views[2].slowness(mediansOf(views))
+	qt.Check(t, slow, qt.Equals, 4.0)
+	qt.Check(t, steady, qt.Equals, 1.0)
 }
 
 // Every backend server of a larger deployment is full but for less than a task needs. What is free in sum would hold many tasks of
@@ -65,3 +68,68 @@
 	e.submit(2, large)
 	qt.Assert(t, len(e.sentTasks()), qt.Equals, 1)
 }
+
+// One of three servers always works at half of the speed and alone has room. A short job, which is in time there, is sent there; a
+// long one, which isn't, waits. A second short job behind the long one that waits still finds the room that only it can use.
+func TestRoomIsWhatAJobCanUseInTime(t *testing.T) {
+	e := newEntryTest(t, "a1/1", "a2/1", "a3/1")
+	slow := proto.Report{Free: room.Resources{CPU: 4000, MemMB: 1000}, Accepting: true, Settled: true, Pace: 0.55, NormalPace: 0.55}
+	e.report("a1/1", slow)
+	e.report("a2/1", proto.Report{Accepting: true, Settled: true, Pace: 1.2, NormalPace: 1.2})
+	e.report("a3/1", proto.Report{Accepting: true, Settled: true, Pace: 1.2, NormalPace: 1.2})
+	long := jobOf(1, 2, 1000)
+	long.Steps[0].Estimate = 760
+	e.submit(1, long)
+	qt.Assert(t, e.sentTasks(), qt.HasLen, 0)
+
+	short := jobOf(2, 2, 1000)
+	short.Steps[0].Estimate = 50
+	e.submit(2, short)
+	qt.Assert(t, e.sentTasks(), qt.DeepEquals, map[shard.ID]int{"a1/1": 2})
+}
+
+// Nothing is learned of a server yet: it counts as one of normal speed.
+func TestUnknownServersCountAsNormal(t *testing.T) {
+	views := []*agentView{{}, {pace: 1, normalPace: 1}, {pace: 1.1, normalPace: 1}}
+	slow, steady := views[0].slowness(mediansOf(views))
+	qt.Check(t, slow, qt.Equals, 1.0)
+	qt.Check(t, steady, qt.Equals, 1.0)
+	slow, steady = views[0].slowness(mediansOf(views[:1]))
+	qt.Check(t, slow, qt.Equals, 1.0)
+	qt.Check(t, steady, qt.Equals, 1.0)
+}
+
+// The normal slowness of a server is known while it is idle, holds while its pace wavers, and ends when its pace has changed.
+func TestNormalSlownessIsApartFromTrouble(t *testing.T) {
+	fleet := medians{pace: 1.2, normal: 1.2}
+	for _, c := range []struct{ pace, normal, slow, steady float64 }{
+		{0, 0.6, 2, 2},
+		{0.6, 0.6, 2, 2},
+		{0.45, 0.6, 2, 2},
+		{0.8, 0.6, 2, 2},
+		{0.3, 0.6, 4, 2},
+		{1.2, 0.6, 1, 2},
+		{0.6, 1.2, 2, 1},
+		{1.1, 1.1, 1, 1},
+	} {
+		v := &agentView{pace: c.pace, normalPace: c.normal}
+		slow, steady := v.slowness(fleet)
+		qt.Check(t, slow, qt.Equals, c.slow, qt.Commentf("%+v", c))
+		qt.Check(t, steady, qt.Equals, c.steady, qt.Commentf("%+v", c))
+	}
+}
+
+// Jobs of one kind run at a slow server: their run times don't lengthen what the kind is expected to take elsewhere.
+func TestRunTimesAtASlowServerAreNoMeasureOfTheKind(t *testing.T) {
+	e := newEntryTest(t, "a1/1", "a2/1", "a3/1")
+	e.report("a1/1", proto.Report{Free: room.Resources{CPU: 4000, MemMB: 1000}, Accepting: true, Settled: true, Pace: 0.5, NormalPace: 0.5})
+	e.report("a2/1", proto.Report{Accepting: true, Settled: true, Pace: 1, NormalPace: 1})
+	e.report("a3/1", proto.Report{Accepting: true, Settled: true, Pace: 1, NormalPace: 1})
+	j := jobOf(1, 1, 4000)
+	j.Steps[0].Estimate = 50
+	e.submit(1, j)
+	qt.Assert(t, e.sentTasks(), qt.DeepEquals, map[shard.ID]int{"a1/1": 1})
+	e.reportEnd("a1/1", taskName(0), proto.EndDone)
+	qt.Assert(t, e.replies(), qt.HasLen, 1)
+	qt.Check(t, e.m.timingOf("q").ratio, qt.Equals, 1.0)
+}
--- a/internal/disp/run_outcomes.go
+++ b/internal/disp/run_outcomes.go
@@ -71,7 +71,7 @@
 	t.ran = true
 	j.remaining[t.step]--
 	v.failureRate -= ewmaWeight * v.failureRate
-	m.recordDuration(j, t, e.TookMS)
+	m.recordDuration(j, t, clock.Millis(float64(e.TookMS)/max(v.slow, 1)))
 	if j.remaining[t.step] == 0 {
 		m.unblockTasks(j)
 		m.placementDue = true
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -92,8 +92,10 @@
 	Took  clock.Millis
 	// Agents, Free, Age and Waiting are the inputs of a decision: the number of usable agents, their known free room in
 	// thousandths of a core, the age of the oldest of their reports in milliseconds, and the number of waiting jobs.
-	Agents  int
-	Free    int64
+	Agents int
+	Free   int64
+	// Usable is the part of Free at agents that are fast enough for a refused job.
+	Usable  int64
 	Age     clock.Millis
 	Waiting int
 	// Placed is how long after its arrival the last task of a job was sent to an agent, and Returned how many of its runs
@@ -123,4 +125,6 @@
 	Reused  int
 	IdleP50 clock.Millis
 	IdleP99 clock.Millis
+	// Pace and NormalPace are the pace of the backend server and the one that is normal for it; zero is unknown.
+	Pace, NormalPace float64
 }
--- a/internal/node/notes.go
+++ b/internal/node/notes.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"log/slog"
 	"os"
 
@@ -50,12 +51,15 @@
 	if n.Agents != 0 {
 		kv = append(kv, "agents", n.Agents, "free", n.Free, "age_ms", int64(n.Age), "waiting", n.Waiting)
 	}
+	add(n.Binding != "", "usable", n.Usable)
 	add(n.Binding != "", "binding", n.Binding)
 	add(n.Work != 0, "core_ms", n.Work/1000)
 	add(n.Late, "late", n.Late)
 	if u := n.Usage; u != nil {
 		kv = append(kv, "used_core_ms", u.UsedCoreMS, "usable_core_ms", u.UsableCoreMS, "reused", u.Reused,
 			"idle_p50_ms", int64(u.IdleP50), "idle_p99_ms", int64(u.IdleP99))
+		add(u.NormalPace > 0, "pace", fmt.Sprintf("%.2f", u.Pace))
+		add(u.NormalPace > 0, "normal_pace", fmt.Sprintf("%.2f", u.NormalPace))
 	}
 	add(n.Placed != 0, "placed_ms", int64(n.Placed))
 	add(n.Returned != 0, "returned", n.Returned)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -16,6 +16,8 @@
 	Labels []string
 	// Slow is the factor by which tasks take longer there than elsewhere; 1 is normal.
 	Slow float64
+	// Steady is the part of Slow that is normal for the backend server; the rest is trouble. Zero stands for 1.
+	Steady float64
 	// Failing is the share of tasks that have failed there lately, from 0 to 1.
 	Failing float64
 	// Remote is set if the backend server is in another availability zone than the dispatcher.
@@ -94,6 +96,16 @@
 	return t.MaxSlow > 0 && c.Slow > max(t.MaxSlow, 1)
 }
 
+// slowPenalty returns how much worse a slow backend server is for a task, in multiples of the normal run time. What is normal for
+// the server costs a task nothing that is in time there: it leaves the faster ones to tasks that aren't.
+func slowPenalty(c *Candidate, t Task) float64 {
+	normal := max(c.Steady, 1)
+	if t.MaxSlow < normal {
+		normal = 1
+	}
+	return max(c.Slow/normal-1, 0)
+}
+
 // Allowed reports whether a backend server with these labels may run the task.
 func Allowed(labels []string, t Task) bool {
 	return (t.Requires == "" || slices.Contains(labels, t.Requires)) && (!t.OnlyNear || slices.Contains(labels, t.Near))
@@ -101,7 +113,7 @@
 
 func score(c *Candidate, t Task) float64 {
 	s := c.Free.Minus(t.Need).ShareOf(c.Total)
-	s -= slowWeight * max(c.Slow-1, 0)
+	s -= slowWeight * slowPenalty(c, t)
 	s -= failingWeight * c.Failing
 	if t.Near != "" && !slices.Contains(c.Labels, t.Near) {
 		s -= slowWeight * max(t.Far-1, 0)
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -79,3 +79,20 @@
 	wanted[0].Avoid = "a"
 	qt.Assert(t, place.Choose(agents(10000, 2000), wanted, fixedSource(0)), qt.DeepEquals, []int{1})
 }
+
+// A quarter of the servers always works at half of the speed. A task that is in time there goes to the emptiest server, whichever it
+// is; one that is late anyway, and one beside a server that has only now turned slow, goes to a fast one.
+func TestSteadilySlowServersServeWhatIsInTimeThere(t *testing.T) {
+	place1 := func(slow, steady, maxSlow float64) int {
+		list := agents(10000, 5000)
+		list[0].Slow, list[0].Steady = slow, steady
+		wanted := tasks(1, 2000)
+		wanted[0].MaxSlow = maxSlow
+		return place.Choose(list, wanted, fixedSource(0))[0]
+	}
+	qt.Check(t, place1(2.2, 2.2, 2.5), qt.Equals, 0)
+	qt.Check(t, place1(2.2, 2.2, 2), qt.Equals, 1)
+	qt.Check(t, place1(2.2, 2.2, 0), qt.Equals, 1)
+	qt.Check(t, place1(2.2, 1, 2.5), qt.Equals, 1)
+	qt.Check(t, place1(4.4, 2.2, 5), qt.Equals, 1)
+}
--- a/internal/proto/order.go
+++ b/internal/proto/order.go
@@ -105,6 +105,8 @@
 	Ends    []End `cbor:"ends,omitempty"`
 	// Pace is the progress of the runs at the backend server lately, as estimated run time per run time; zero is unknown.
 	Pace float64 `cbor:"pace,omitempty"`
+	// NormalPace is the same over a longer time, without what was trouble for this backend server; zero is unknown.
+	NormalPace float64 `cbor:"normal_pace,omitempty"`
 	// Facts is included if it changed, and in the first report of a session.
 	Facts *Facts `cbor:"facts,omitempty"`
 	// Inventory lists the dispatcher's runs in the first report of a session, and after each change of the backend server.
@@ -164,8 +166,8 @@
 	if f := r.Free; max(f.CPU, f.MemMB, f.GPU) > maxAmount || min(f.CPU, f.MemMB, f.GPU) < -maxAmount {
 		return errors.Errorf("free room %v", f)
 	}
-	if !(r.Pace >= 0 && r.Pace <= maxPace) {
-		return errors.Errorf("pace %f", r.Pace)
+	if !(r.Pace >= 0 && r.Pace <= maxPace && r.NormalPace >= 0 && r.NormalPace <= maxPace) {
+		return errors.Errorf("pace %f, normal %f", r.Pace, r.NormalPace)
 	}
 	if r.Facts != nil && !IsAmount(r.Facts.Total) {
 		return errors.Errorf("total room %v", r.Facts.Total)
--- a/internal/proto/order_test.go
+++ b/internal/proto/order_test.go
@@ -16,9 +16,11 @@
 	for _, pace := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, 1e9} {
 		r := proto.Report{Pace: pace}
 		qt.Check(t, r.Check(), qt.IsNotNil, qt.Commentf("%f", pace))
+		r = proto.Report{NormalPace: pace}
+		qt.Check(t, r.Check(), qt.IsNotNil, qt.Commentf("normal %f", pace))
 	}
 	for _, pace := range []float64{0, 0.001, 1, 40} {
-		r := proto.Report{Pace: pace}
+		r := proto.Report{Pace: pace, NormalPace: pace}
 		qt.Check(t, r.Check(), qt.IsNil, qt.Commentf("%f", pace))
 	}
 }
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -125,7 +125,7 @@
 		r.Free = m.instance.Total.Minus(m.used).Minus(m.queuedNeed)
 	}
 	r.Accepting = m.accepting()
-	r.Pace = m.pace.value(m.now)
+	r.Pace, r.NormalPace = m.pace.value(m.now), m.pace.normal()
 	r.Settled = m.settled
 	return r
 }
--- a/internal/runs/pace_test.go
+++ b/internal/runs/pace_test.go
@@ -51,3 +51,55 @@
 	a.handle(event.Tick{})
 	qt.Check(t, a.m.newReport().Pace, qt.Equals, 0.0)
 }
+
+// progressFor lets eight runs make progress at a speed for some time, with a poll each 100 ms.
+func progressFor(p *pace, from, span clock.Millis, speed float64) (now clock.Millis) {
+	list := make([]run, 8)
+	for i := range list {
+		list[i] = run{estimate: 100 * clock.Second, polledAt: from}
+	}
+	for now = from; now < from+span; {
+		now += 100
+		for i := range list {
+			p.progressed(now, &list[i], list[i].polledPercent+speed*0.1)
+		}
+	}
+	return now
+}
+
+// A backend server that always works at half of the speed falls to an eighth for some seconds: its normal pace stays what it was, and
+// the half is known from the first second and after a pause.
+func TestTroubleLeavesTheNormalPace(t *testing.T) {
+	near := func(got, want, by float64) {
+		t.Helper()
+		qt.Check(t, math.Abs(got-want) < by, qt.IsTrue, qt.Commentf("%f, want %f", got, want))
+	}
+	p := &pace{}
+	qt.Assert(t, p.normal(), qt.Equals, 0.0)
+	now := progressFor(p, 1000, 200, 0.55)
+	near(p.normal(), 0.55, 0.01)
+	now = progressFor(p, now, 5*clock.Second, 0.55)
+	now = progressFor(p, now, 6*clock.Second, 0.125)
+	near(p.value(now), 0.125, 0.01)
+	near(p.normal(), 0.55, 0.11)
+	now += 10 * paceTTL
+	qt.Check(t, p.value(now), qt.Equals, 0.0)
+	near(p.normal(), 0.55, 0.11)
+
+	// What lasts becomes normal, a rise within seconds.
+	now = progressFor(p, now, 10*clock.Second, 1.2)
+	near(p.normal(), 1.2, 0.1)
+	progressFor(p, now, 120*clock.Second, 0.55)
+	near(p.normal(), 0.55, 0.1)
+}
+
+// The next backend server beside the agent may be another machine: nothing that was learned of the last one holds for it.
+func TestNormalPaceEndsWithTheIncarnation(t *testing.T) {
+	a := newAgentTest(t)
+	progressFor(&a.m.pace, 1000, clock.Second, 0.55)
+	qt.Assert(t, a.m.newReport().NormalPace > 0, qt.IsTrue)
+	in := *a.m.instance
+	in.ID, in.Born, in.Seq = "other", in.Born+1000, in.Seq+1
+	a.handle(Announced{Instance: in})
+	qt.Check(t, a.m.newReport().NormalPace, qt.Equals, 0.0)
+}
--- a/internal/runs/usage_controller.go
+++ b/internal/runs/usage_controller.go
@@ -57,7 +57,9 @@
 	u := &m.usage
 	if u.waited > 0 {
 		slices.Sort(u.idle)
-		n := event.Usage{UsedCoreMS: u.used / 1000, UsableCoreMS: u.usable / 1000, Reused: len(u.idle)}
+		n := event.Usage{
+			UsedCoreMS: u.used / 1000, UsableCoreMS: u.usable / 1000, Reused: len(u.idle), Pace: m.pace.value(m.now), NormalPace: m.pace.normal(),
+		}
 		if len(u.idle) > 0 {
 			n.IdleP50, n.IdleP99 = u.idle[len(u.idle)/2], u.idle[len(u.idle)*99/100]
 		}
