--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -15,6 +15,8 @@
 type pool struct {
 	views      []*agentView
 	candidates []place.Candidate
+	// warmth is the speed of each candidate's backend server after its start, as a share of its full speed.
+	warmth []float64
 	// claimed is what the jobs placed so far need for their tasks without room.
 	claimed room.Resources
 	total   room.Resources
@@ -63,15 +65,20 @@
 
 func (m *Machine) poolOf(views []*agentView) *pool {
 	p := &pool{views: views}
-	paces := mediansOf(views)
+	paces, least := mediansOf(views), leastColdness(views, m.now, m.cfg.ColdFactor)
 	for _, v := range views {
 		c := place.Candidate{
 			ID: v.id, Free: v.estimatedFree(), Total: v.facts.Total, Labels: v.facts.Labels, Failing: v.failureRate,
 			Remote: m.cfg.Zone != "" && v.facts.Zone != m.cfg.Zone,
 		}
 		c.Slow, c.Steady = v.slowness(paces)
+		cold := v.coldness(m.now, m.cfg.ColdFactor) / least
+		if cold > 1 {
+			c.Slow, c.Steady = max(c.Slow, cold), 1
+		}
 		v.slow = c.Slow
 		p.candidates = append(p.candidates, c)
+		p.warmth = append(p.warmth, 1/cold)
 		p.total = p.total.Plus(c.Total.Times(1 / c.Slow))
 	}
 	return p
@@ -80,9 +87,9 @@
 // freeFor returns the free capacity at the agents that are slower than elsewhere by no more than a factor, less what earlier jobs
 // have claimed.
 func (p *pool) freeFor(maxSlow float64) (free room.Resources) {
-	for _, c := range p.candidates {
+	for i, c := range p.candidates {
 		if c.Free.CPU > 0 && c.Slow <= maxSlow {
-			free = free.Plus(c.Free)
+			free = free.Plus(c.Free.Times(p.warmth[i]))
 		}
 	}
 	return free.Minus(p.claimed)
@@ -259,7 +266,7 @@
 		v := views[c]
 		if begins[c] == nil {
 			v.beginSeq++
-			begins[c] = &proto.Begin{Seq: v.beginSeq, Job: j.ID, Service: j.Service, Spec: j.Spec, Rank: j.queued.OwnRank()}
+			begins[c] = &proto.Begin{Seq: v.beginSeq, Job: j.ID, Service: j.Service, Spec: j.Spec, Rank: j.queued.OwnRank(), Instance: v.facts.Instance, Born: v.facts.Born}
 		}
 		step := j.Steps[t.step]
 		t.state = sent
@@ -274,7 +281,7 @@
 		}
 		j.lastSent = m.now
 		begins[c].Tasks = append(begins[c].Tasks, proto.TaskBegin{
-			Task: t.name, Run: t.run, Need: step.Need, EstimateMS: step.Estimate,
+			Task: t.name, Run: t.run, Need: step.Need, EstimateMS: step.Estimate, Requires: step.Requires,
 		})
 		v.inFlight = append(v.inFlight, inFlightTask{seq: v.beginSeq, need: step.Need})
 	}
--- a/internal/proto/order.go
+++ b/internal/proto/order.go
@@ -4,6 +4,7 @@
 	"github.com/go-faster/errors"
 
 	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/evac"
 	"corianderspur.example/corianderspur/internal/room"
 	"corianderspur.example/corianderspur/internal/shard"
 )
@@ -26,6 +27,8 @@
 	Cancels []string `cbor:"cancels,omitempty"`
 	// Cancelled answers relayed cancels of jobs that the dispatcher had.
 	Cancelled []RelayedCancel `cbor:"cancelled,omitempty"`
+	// Evacuated is included if the agent is not known to have a state as new.
+	Evacuated *evac.State `cbor:"evacuated,omitempty"`
 }
 
 // RelayedCancel is the cancel of a job that an agent relays for a dispatcher, the asker.
@@ -44,6 +47,10 @@
 	Tasks   []TaskBegin `cbor:"tasks"`
 	// Rank is the priority of the job; of the runs that wait for resources at the agent, those of the lowest rank start first.
 	Rank int `cbor:"rank,omitempty"`
+	// Instance and Born name the incarnation of the backend server that the tasks were placed on; an agent starts them on no other. An
+	// order without them is for any incarnation.
+	Instance string `cbor:"instance,omitempty"`
+	Born     int64  `cbor:"born,omitempty"`
 }
 
 // TaskBegin is one task of a Begin.
@@ -53,6 +60,8 @@
 	Need room.Resources `cbor:"need"`
 	// EstimateMS is how long the task is expected to run, in milliseconds.
 	EstimateMS clock.Millis `cbor:"estimate_ms,omitempty"`
+	// Requires is a label that the backend server must have; empty for none.
+	Requires string `cbor:"requires,omitempty"`
 }
 
 // RunRef identifies one run of a task.
@@ -78,6 +87,8 @@
 	EndNoRoom EndReason = "no_room"
 	// EndNotBegun is a run that did not start for another reason.
 	EndNotBegun EndReason = "not_begun"
+	// EndOutdated is a run that did not start since the backend server isn't the one that it was placed on.
+	EndOutdated EndReason = "outdated"
 )
 
 // End reports how a run ended; nothing of the run is still executing.
@@ -115,6 +126,10 @@
 	Cancels []RelayedCancel `cbor:"cancels,omitempty"`
 	// Cancelled lists the jobs of the dispatcher's own Cancels that another dispatcher had and has cancelled.
 	Cancelled []string `cbor:"cancelled,omitempty"`
+	// Evacuated is included if the dispatcher is not known to have a state as new.
+	Evacuated *evac.State `cbor:"evacuated,omitempty"`
+	// WarmUpMS is how much longer the backend server is slow after its start, in milliseconds.
+	WarmUpMS clock.Millis `cbor:"warm_up_ms,omitempty"`
 }
 
 // Facts describes the backend server beside an agent.
@@ -124,6 +139,9 @@
 	Service string         `cbor:"service"`
 	Total   room.Resources `cbor:"total"`
 	Labels  []string       `cbor:"labels,omitempty"`
+	// Instance and Born name the incarnation of the backend server.
+	Instance string `cbor:"instance,omitempty"`
+	Born     int64  `cbor:"born,omitempty"`
 }
 
 // Inventory lists the runs that still execute or whose end is not known yet.
@@ -158,6 +176,9 @@
 			}
 		}
 	}
+	if err := o.Evacuated.Check(); err != nil {
+		return err
+	}
 	return checkCancels(o.Cancelled, o.Cancels)
 }
 
@@ -177,6 +198,12 @@
 			return errors.Errorf("task %q took %d", e.Task, e.TookMS)
 		}
 	}
+	if r.WarmUpMS < 0 || r.WarmUpMS > maxStamp {
+		return errors.Errorf("warm-up of %d ms", r.WarmUpMS)
+	}
+	if err := r.Evacuated.Check(); err != nil {
+		return err
+	}
 	return checkCancels(r.Cancels, r.Cancelled)
 }
 
--- a/internal/runs/pace.go
+++ b/internal/runs/pace.go
@@ -34,6 +34,8 @@
 	updatedAt  clock.Millis
 	// normalWork and normalTime are the same for the normal pace, over a longer time.
 	normalWork, normalTime float64
+	// warmUntil is when the backend server has its full speed after its start; until then no progress counts for the normal pace.
+	warmUntil clock.Millis
 }
 
 // progressed records the progress of a run since the last poll.
@@ -53,6 +55,9 @@
 
 // learnNormal updates the normal pace with the progress in some run time.
 func (p *pace) learnNormal(now clock.Millis, work, elapsed float64) {
+	if now < p.warmUntil {
+		return
+	}
 	if v := p.value(now); v > 0 && troubleRatio*v < p.normal() {
 		work, elapsed = troubleWeight*work, troubleWeight*elapsed
 	}
--- a/internal/runs/pace_test.go
+++ b/internal/runs/pace_test.go
@@ -93,6 +93,15 @@
 	near(p.normal(), 0.55, 0.1)
 }
 
+// A backend server that is cold after its start is no measure of what is normal for it.
+func TestNormalPaceIsNotLearnedFromAColdServer(t *testing.T) {
+	p := &pace{warmUntil: 3 * clock.Second}
+	now := progressFor(p, 1000, 1500, 0.5)
+	qt.Check(t, p.normal(), qt.Equals, 0.0)
+	progressFor(p, now, clock.Second, 1)
+	qt.Check(t, p.normal() > 0.9, qt.IsTrue, qt.Commentf("%f", p.normal()))
+}
+
 // The next backend server beside the agent may be another machine: nothing that was learned of the last one holds for it.
 func TestNormalPaceEndsWithTheIncarnation(t *testing.T) {
 	a := newAgentTest(t)
