--- a/internal/runs/evacuate_controller.go
+++ b/internal/runs/evacuate_controller.go
@@ -51,6 +51,7 @@
 func (m *Machine) recordWarmUp(in Instance) {
 	if m.Knows(in) {
 		m.warmUntil = m.now + in.WarmUp
+		m.pace.warmUntil = m.warmUntil
 	}
 }
 
