Cancels hold at every agent before they are answered

Two faults of one class in one commit, as the same messages mend both: a cancel was acknowledged before anything made it hold. Ruled out: a longer retention alone (an agent carried out orders of jobs whose cancel it had just relayed; silence counted as the answer that no entry has the job).

Each cancel goes to all agents and from them to all dispatchers, whatever became of the job, and is remembered for 10 s from its beginning on both sides; sessions that begin are told. Agents end the runs of a cancelled job and refuse its orders. 200 (own job) and 410 wait for every asked agent's word that it is in force; 503 after 600 ms without. A dispatcher that has heard of no agent for 1,220 ms gives up its jobs.

Changed tests: TestCancelThatNoDispatcherAnswersIsNotFound, TestPlannedStopWaitsForSearches: 410 needs the agents' word now. TestCancelOfAnEndedJobAsksNobody is TestRepeatedCancelOfAnEndedJobAsksNobody: the first cancel must ask, as a copy may come elsewhere. TestManyCancelsOfUnknownJobsAreBounded counts searches as they begin, same bounds. Relayed cancels carry their age. The fake agent of TestLostTasksWaitWhileTheirSessionIsBackWithoutAnInventory echoes stamps, as agents do.

--- a/internal/disp/agent_controller.go
+++ b/internal/disp/agent_controller.go
@@ -28,6 +28,7 @@
 	v.inFlight = nil
 	v.beginSeq = 0
 	v.ackedSeq = 0
+	v.spreadTo = 0
 	m.note(event.Note{Name: "session_up", Peer: id})
 	m.heartbeat(v)
 }
@@ -163,6 +164,8 @@
 	}
 	o.Stamp = m.now
 	o.AckedEnd = v.lastEnd
+	o.SeenCancel = v.seenCancel
+	o.Spread, v.spreadTo = m.unspread(v), m.lastKnown
 	v.lastOrders = m.now
 	m.emit(event.Send{To: v.id, Message: proto.Message{Orders: o}})
 }
@@ -180,6 +183,7 @@
 	v.lastReport = m.now
 	wasPrompt := v.echo.isPrompt(m.now)
 	v.echo.observe(m.now, r.Echo)
+	m.informedAt = max(m.informedAt, min(r.Echo, m.now))
 	mayFit := r.Accepting && (!wasPrompt || !v.accepting || r.Free.CPU > v.free.CPU || r.Free.MemMB > v.free.MemMB || len(r.Ends) > 0)
 	v.free, v.accepting, v.settled, v.ackedSeq, v.pace = r.Free, r.Accepting, r.Settled, r.LastBegin, r.Pace
 	if r.Facts != nil {
--- a/internal/disp/common.go
+++ b/internal/disp/common.go
@@ -26,6 +26,8 @@
 	IdleSilence clock.Millis
 	// Lease is how long a backend server keeps running tasks after it lost its agent.
 	Lease clock.Millis
+	// ContactLimit is how long jobs are kept when no agent is heard of; zero stands for Silence and Lease on a slow clock.
+	ContactLimit clock.Millis
 	// ReattachTimeout is how long to wait for a lost session to be opened again before jobs that can't wait for the leases of
 	// its runs are given up.
 	ReattachTimeout clock.Millis
@@ -196,6 +198,9 @@
 	failureRate float64
 	// downAt is when the session was lost; zero while it is up.
 	downAt clock.Millis
+	// spreadTo is the number of the last known cancel that the agent was sent, and seenCancel that of the last one that it has relayed.
+	spreadTo   uint64
+	seenCancel uint64
 	// unchosen says that the agent is no longer chosen, so that its session is about to be closed.
 	unchosen bool
 	// backoffUntil is the time until which the agent gets no tasks.
@@ -234,6 +239,11 @@
 	recentOrder []outcome
 	// searches are the cancels of jobs that this dispatcher doesn't have, oldest first.
 	searches []*search
+	// known are the cancels that agents are told of, and lastKnown is the number of the last one.
+	known     []knownCancel
+	lastKnown uint64
+	// informedAt is the newest stamp that came back from an agent: all cancels that the agent knew of then have arrived.
+	informedAt clock.Millis
 	// nextAskAt is when the agents may be asked again.
 	nextAskAt     clock.Millis
 	stopping      bool
@@ -252,6 +262,8 @@
 	id     string
 	result Result
 	at     clock.Millis
+	// inForce says that the cancel of the job is in force everywhere.
+	inForce bool
 }
 
 // timing holds the moving mean of the ratio of actual to estimated duration of a queue's tasks.
@@ -267,6 +279,9 @@
 	if cfg.IdleSilence == 0 {
 		cfg.IdleSilence = cfg.Silence
 	}
+	if cfg.ContactLimit == 0 {
+		cfg.ContactLimit = cfg.Silence + cfg.Lease + cfg.Lease/clockSlackDivisor
+	}
 	return &Machine{
 		wantRanks: map[string]int{}, chosen: map[shard.ID]clock.Millis{},
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), agents: map[shard.ID]*agentView{}, jobs: map[string]*job{},
--- a/internal/disp/lost_test.go
+++ b/internal/disp/lost_test.go
@@ -38,7 +38,7 @@
 			step(event.SessionUp{Peer: "a1/1", Role: proto.RoleAgent})
 		}
 		r := e.reports["a2/1"]
-		r.Facts, r.Inventory = nil, nil
+		r.Facts, r.Inventory, r.Echo = nil, nil, e.now
 		step(event.Received{From: "a2/1", Message: proto.Message{Report: &r}})
 		step(event.Tick{})
 	}
--- a/internal/disp/machine.go
+++ b/internal/disp/machine.go
@@ -16,6 +16,7 @@
 	if m.startedAt == 0 {
 		m.startedAt = now
 	}
+	m.checkInformed()
 	switch ev := ev.(type) {
 	case event.SessionUp:
 		if ev.Role == proto.RoleAgent {
@@ -57,6 +58,7 @@
 	m.checkJobs()
 	m.checkSearches()
 	m.expireResults()
+	m.expireKnown()
 	if m.stopping && !m.exited && (len(m.jobs)+len(m.searches) == 0 || m.now >= m.drainDeadline) {
 		m.exited = true
 		m.emit(event.Exit{})
--- a/internal/emul/cancel_test.go
+++ b/internal/emul/cancel_test.go
@@ -9,6 +9,7 @@
 
 	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/disp"
+	"corianderspur.example/corianderspur/internal/proto"
 	"corianderspur.example/corianderspur/internal/room"
 )
 
@@ -17,7 +18,7 @@
 	w.lastSerial++
 	c := &Caller{
 		world: w, Sent: w.now, entry: e, entryIncarnation: e.incarnation, ticket: uint64(w.lastSerial),
-		Job: disp.Job{ID: id, Steps: []disp.Step{{}}},
+		Job: disp.Job{ID: id, Steps: []disp.Step{{}}}, Tries: maxTries,
 	}
 	w.callers["cancel of "+id] = c
 	e.push(disp.Cancel{Ticket: c.ticket, ID: id})
@@ -161,3 +162,95 @@
 	qt.Check(t, results[disp.Cancelled]+results[disp.NotFound], qt.Equals, cancelSeeds*cancelledJobs, qt.Commentf("%v", results))
 	qt.Check(t, results[disp.Cancelled] > results[disp.NotFound], qt.IsTrue, qt.Commentf("%v", results))
 }
+
+// Review case 8: a copy of a cancelled job's request arrives at another entry, seconds after the answer.
+func TestCopyOfACancelledJobStartsNothing(t *testing.T) {
+	for _, distance := range []clock.Millis{500, 1000, 4000, 8000} {
+		w, job := longJob(t)
+		other := w.otherEntry(job)
+		cancel := w.cancelAt(job.entry, job.Job.ID)
+		w.Run(w.now + distance)
+		qt.Assert(t, cancel.Answer, qt.Equals, disp.Cancelled)
+		other.push(disp.Submit{Ticket: 1 << 40, Job: job.Job})
+		for range 200 {
+			w.Run(w.now + 10)
+			qt.Assert(t, w.runCount(), qt.Equals, 0, qt.Commentf("copy %d ms later", distance))
+		}
+	}
+}
+
+// Review case 9: the entry that has a job is cut off from the agents while the job is cancelled elsewhere.
+func TestCancelHoldsForAnEntryThatIsCutOff(t *testing.T) {
+	for _, span := range []clock.Millis{300, 700, 1500, 5000, 9000, 14_000} {
+		w, job := longJob(t)
+		for _, a := range w.agents {
+			w.cutFor(job.entry, a, span, true, true)
+		}
+		w.Run(w.now + 250)
+		cancel := w.cancelAt(w.otherEntry(job), job.Job.ID)
+		w.Run(w.now + 3000)
+		ended := w.now
+		for w.now < ended+20*clock.Second {
+			w.Run(w.now + 10)
+			if cancel.Answer == disp.Cancelled || cancel.Answer == disp.NotFound || w.now > ended+span {
+				qt.Assert(t, w.runCount(), qt.Equals, 0, qt.Commentf("cut of %d ms, answer %q", span, cancel.Answer))
+			}
+		}
+	}
+}
+
+// copyDelay is the shortest time after the answer to a request at which a copy of it arrives.
+const copyDelay = 2 * clock.Second
+
+// cancelBound is how long after the answer of its cancel a task of a job may begin at the latest.
+const cancelBound = 3 * clock.Second
+
+// Under random faults: once a cancel was answered with success, nothing of its job runs from cancelBound on, though its caller sends the
+// job again and copies of the request arrive at other entries.
+func TestDrawnFaultsBesideCancels(t *testing.T) {
+	t.Parallel()
+	results := map[disp.Result]int{}
+	for i := range uint64(*seeds) {
+		w := New(DefaultConfig(*firstSeed + i))
+		w.Verbose = *trace
+		w.Run(2 * clock.Second)
+		w.scheduleFaults(sessionLength)
+		var cancels []*Caller
+		for n := range cancelledJobs {
+			id := fmt.Sprintf("%016x", n+1)
+			at := sessionLength / cancelledJobs * clock.Millis(n)
+			tasks := Tasks{Count: 1 + w.rng.IntN(3), Need: room.Resources{CPU: 1000}, Work: 1500, Estimate: 1500, Patience: 8000}
+			delay, copies := clock.Millis(w.rng.IntN(3000)), clock.Millis(w.rng.IntN(8000))
+			w.After(at, func() { w.Submit(n+1, tasks) })
+			w.After(at+delay, func() { cancels = append(cancels, w.cancelAt(w.entries[w.rng.IntN(3)], id)) })
+			w.After(at+delay+copies, func() {
+				// Copies arrive only seconds after an answer with success.
+				if c := w.callers[id]; (c.Answer == disp.Completed || c.Answer == disp.Cancelled) && w.now-c.Answered >= copyDelay {
+					w.entries[w.rng.IntN(3)].push(disp.Submit{Ticket: 1<<40 + uint64(n), Job: c.Job})
+				}
+			})
+		}
+		for w.now < sessionLength+12*clock.Second {
+			w.Run(w.now + 50)
+			for _, c := range cancels {
+				since := w.now - c.Answered
+				if (c.Answer != disp.Cancelled && c.Answer != disp.NotFound) || since <= cancelBound || since > proto.CancelRetention {
+					continue
+				}
+				if tasks := w.jobRuns(c.Job.ID); len(tasks) > 0 {
+					t.Errorf("seed %d: %v at work at %d, cancel answered with %q at %d", w.cfg.Seed, tasks, w.now, c.Answer, c.Answered)
+					if *trace {
+						t.Log(w.Log.String())
+					}
+					return
+				}
+			}
+		}
+		for _, c := range cancels {
+			results[c.Answer]++
+		}
+		checkHeld(t, w)
+	}
+	t.Logf("%d sessions, answers to cancels: %v", *seeds, results)
+	qt.Check(t, results[disp.Cancelled]+results[disp.NotFound] > results[disp.Unknown], qt.IsTrue)
+}
--- a/internal/emul/drawn_test.go
+++ b/internal/emul/drawn_test.go
@@ -141,18 +141,24 @@
 	}
 }
 
+// guardSeeds is the number of sessions that are searched for one that needs a safeguard.
+const guardSeeds = 120
+
 // Each safeguard of the lease protocol is needed: without it some random session violates an invariant.
 func TestGuardsOfLeases(t *testing.T) {
 	guards := map[string]func(cfg *Config){
-		"agents stop the runs of a silent dispatcher":           func(cfg *Config) { cfg.Keeper.Silence = 3600 * clock.Second },
-		"agents stop the runs of a dispatcher that was reset":   func(cfg *Config) { cfg.Keeper.Reattach = 3600 * clock.Second; cfg.Keeper.Silence = 3600 * clock.Second },
-		"dispatchers wait for an agent's silence and the lease": func(cfg *Config) { cfg.Dispatcher.Lease = -cfg.Dispatcher.Silence },
-		"backend servers stop without a renewal":                func(cfg *Config) { cfg.Keeper.Lease = 3600 * clock.Second; cfg.HoldMost = 3600 * clock.Second },
+		"agents stop the runs of a silent dispatcher":         func(cfg *Config) { cfg.Keeper.Silence = 3600 * clock.Second },
+		"agents stop the runs of a dispatcher that was reset": func(cfg *Config) { cfg.Keeper.Reattach = 3600 * clock.Second; cfg.Keeper.Silence = 3600 * clock.Second },
+		"dispatchers wait for an agent's silence and the lease": func(cfg *Config) {
+			cfg.Dispatcher.ContactLimit = cfg.Dispatcher.Silence + cfg.Dispatcher.Lease
+			cfg.Dispatcher.Lease = -cfg.Dispatcher.Silence
+		},
+		"backend servers stop without a renewal": func(cfg *Config) { cfg.Keeper.Lease = 3600 * clock.Second; cfg.HoldMost = 3600 * clock.Second },
 	}
 	for name, remove := range guards {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			for seed := range uint64(60) {
+			for seed := range uint64(guardSeeds) {
 				cfg := randomConfig(seed + 1)
 				remove(&cfg)
 				if len(Drawn(cfg, false, sessionLength).Violations()) > 0 {
--- a/internal/proto/order.go
+++ b/internal/proto/order.go
@@ -26,12 +26,28 @@
 	Cancels []string `cbor:"cancels,omitempty"`
 	// Cancelled answers relayed cancels of jobs that the dispatcher had.
 	Cancelled []RelayedCancel `cbor:"cancelled,omitempty"`
+	// Spread lists cancels that the dispatcher knows of, which the agent remembers and relays like Cancels; they need no answer.
+	Spread []KnownCancel `cbor:"spread,omitempty"`
+	// SeenCancel is the LastCancel of the newest report with cancels that the dispatcher has handled.
+	SeenCancel uint64 `cbor:"seen_cancel,omitempty"`
+}
+
+// CancelRetention is how long dispatchers and agents remember that a job was cancelled, in milliseconds: its request may arrive again
+// as long as that.
+const CancelRetention = 10 * clock.Second
+
+// KnownCancel is a job that was cancelled some time ago.
+type KnownCancel struct {
+	Job   string       `cbor:"job"`
+	AgeMS clock.Millis `cbor:"age_ms,omitempty"`
 }
 
 // RelayedCancel is the cancel of a job that an agent relays for a dispatcher, the asker.
 type RelayedCancel struct {
 	Job   string   `cbor:"job"`
 	Asker shard.ID `cbor:"asker"`
+	// AgeMS is how long ago the job was cancelled, in milliseconds.
+	AgeMS clock.Millis `cbor:"age_ms,omitempty"`
 }
 
 // Begin starts tasks of one job at the agent.
@@ -121,6 +137,11 @@
 	Cancels []RelayedCancel `cbor:"cancels,omitempty"`
 	// Cancelled lists the jobs of the dispatcher's own Cancels that another dispatcher had and has cancelled.
 	Cancelled []string `cbor:"cancelled,omitempty"`
+	// LastCancel is the number of the last relayed cancel that the reports up to this one cover; zero if this one has none.
+	LastCancel uint64 `cbor:"last_cancel,omitempty"`
+	// InForce lists the jobs of the dispatcher's own Cancels of which the agent takes no order, and neither does any dispatcher that
+	// the agent knows.
+	InForce []string `cbor:"in_force,omitempty"`
 }
 
 // Facts describes the backend server beside an agent.
@@ -167,6 +188,14 @@
 			}
 		}
 	}
+	for _, c := range o.Spread {
+		if !isID(c.Job) || !isAge(c.AgeMS) {
+			return errors.Errorf("cancel of %.40q, %d ms ago", c.Job, c.AgeMS)
+		}
+	}
+	if len(o.Spread) > MaxCancels {
+		return errors.Errorf("%d known cancels, at most %d allowed", len(o.Spread), MaxCancels)
+	}
 	return checkCancels(o.Cancelled, o.Cancels)
 }
 
@@ -186,6 +215,9 @@
 			return errors.Errorf("task %q took %d", e.Task, e.TookMS)
 		}
 	}
+	if err := checkCancels(nil, r.InForce); err != nil {
+		return err
+	}
 	return checkCancels(r.Cancels, r.Cancelled)
 }
 
@@ -194,7 +226,7 @@
 		return errors.Errorf("%d and %d cancels, at most %d allowed", len(cancels), len(jobs), MaxCancels)
 	}
 	for _, c := range cancels {
-		if !isID(c.Job) || !isID(string(c.Asker)) {
+		if !isID(c.Job) || !isID(string(c.Asker)) || !isAge(c.AgeMS) {
 			return errors.Errorf("cancel of %.40q for %.40q", c.Job, c.Asker)
 		}
 	}
@@ -206,6 +238,10 @@
 	return nil
 }
 
+func isAge(d clock.Millis) bool {
+	return d >= 0 && d <= maxStamp
+}
+
 func isID(id string) bool {
 	return id != "" && len(id) <= maxIDLen
 }
--- a/internal/runs/cancel_controller_test.go
+++ b/internal/runs/cancel_controller_test.go
@@ -19,6 +19,7 @@
 	alive   []shard.ID
 	cancels map[shard.ID][]proto.RelayedCancel
 	answers map[shard.ID][]string
+	inForce map[shard.ID][]string
 	reports map[shard.ID]int
 }
 
@@ -33,7 +34,7 @@
 
 func (a *relayTest) reset() {
 	a.cancels, a.answers = map[shard.ID][]proto.RelayedCancel{}, map[shard.ID][]string{}
-	a.reports = map[shard.ID]int{}
+	a.inForce, a.reports = map[shard.ID][]string{}, map[shard.ID]int{}
 }
 
 func (a *relayTest) do(ev event.Event) {
@@ -41,6 +42,7 @@
 	for _, s := range actions[event.Send](a.agentTest) {
 		r := s.Message.Report
 		a.cancels[s.To] = append(a.cancels[s.To], r.Cancels...)
+		a.inForce[s.To] = append(a.inForce[s.To], r.InForce...)
 		a.answers[s.To] = append(a.answers[s.To], r.Cancelled...)
 		a.reports[s.To]++
 	}
@@ -68,7 +70,7 @@
 	a := newRelayTest(t)
 	a.send("e1/1", proto.Orders{Cancels: []string{"j1"}})
 	a.pass(echoInterval)
-	relayed := []proto.RelayedCancel{{Job: "j1", Asker: "e1/1"}}
+	relayed := []proto.RelayedCancel{{Job: "j1", Asker: "e1/1", AgeMS: echoInterval}}
 	qt.Assert(t, a.cancels["e2/1"], qt.DeepEquals, relayed)
 	qt.Assert(t, a.cancels["e3/1"], qt.DeepEquals, relayed)
 	qt.Assert(t, a.cancels["e1/1"], qt.HasLen, 0)
@@ -89,9 +91,9 @@
 	a.send("e1/1", proto.Orders{Cancels: []string{"j1"}})
 	a.pass(100)
 	a.do(event.SessionUp{Peer: "e2/1"})
-	qt.Assert(t, a.cancels["e2/1"], qt.DeepEquals, []proto.RelayedCancel{{Job: "j1", Asker: "e1/1"}})
+	qt.Assert(t, a.cancels["e2/1"], qt.DeepEquals, []proto.RelayedCancel{{Job: "j1", Asker: "e1/1", AgeMS: 100}})
 
-	a.pass(cancelRetention)
+	a.pass(proto.CancelRetention)
 	a.do(event.SessionUp{Peer: "e4/1"})
 	qt.Assert(t, a.cancels["e4/1"], qt.HasLen, 0)
 	qt.Assert(t, a.m.cancels, qt.HasLen, 0)
@@ -136,3 +138,86 @@
 		})
 	}
 }
+
+// Review case 8: a copy of a cancelled job's request started its tasks by way of another dispatcher.
+func TestNothingOfACancelledJobStarts(t *testing.T) {
+	for name, o := range map[string]proto.Orders{
+		"asked":  {Cancels: []string{"j1"}},
+		"spread": {Spread: []proto.KnownCancel{{Job: "j1", AgeMS: 1000}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newRelayTest(t)
+			a.begin("e2/1", "j1", 1000)
+			a.confirmStart("j1")
+			a.send("e1/1", o)
+			qt.Check(t, actions[HaltRun](a.agentTest), qt.HasLen, 1)
+			a.handle(PollDone{Number: a.m.lastPoll, Outcome: OrderDone, Born: 1, Ended: []Ended{{N: 1, Task: "j1.0.0.0", Run: 1, How: proto.EndStopped}}})
+			a.pass(4000)
+			a.begin("e3/1", "j1", 1000)
+			qt.Check(t, actions[StartRun](a.agentTest), qt.HasLen, 0)
+			qt.Check(t, a.reportedEnds("e3/1"), qt.DeepEquals, []proto.EndReason{proto.EndNotBegun})
+			a.begin("e3/1", "j11", 1000)
+			qt.Check(t, actions[StartRun](a.agentTest), qt.HasLen, 1)
+			a.pass(proto.CancelRetention)
+			qt.Check(t, a.m.cancelledAt, qt.HasLen, 0)
+		})
+	}
+}
+
+// Review case 9: the dispatcher that has the job is cut off while it is cancelled, and comes back seconds later.
+func TestCancelIsKeptForADispatcherThatComesBack(t *testing.T) {
+	a := newRelayTest(t)
+	a.send("e1/1", proto.Orders{Spread: []proto.KnownCancel{{Job: "j1"}}})
+	a.alive = []shard.ID{"e1/1", "e3/1"}
+	a.pass(5000)
+	a.cancels["e2/1"] = nil
+	a.do(event.SessionUp{Peer: "e2/1"})
+	qt.Assert(t, a.cancels["e2/1"], qt.DeepEquals, []proto.RelayedCancel{{Job: "j1", Asker: "e1/1", AgeMS: 5000}})
+}
+
+// A cancel is in force once every other dispatcher has handled it, or has lost the authority over its jobs.
+func TestCancelIsInForceWhenNoDispatcherCanHaveTheJob(t *testing.T) {
+	const runsOver = 400 + 800 + 800/ClockSlack
+	seen := func(a *relayTest, id shard.ID) { a.send(id, proto.Orders{SeenCancel: a.m.lastCancel}) }
+
+	a := newRelayTest(t)
+	a.send("e1/1", proto.Orders{Cancels: []string{"j1"}})
+	a.pass(100)
+	seen(a, "e2/1")
+	a.pass(1000)
+	qt.Assert(t, a.inForce["e1/1"], qt.HasLen, 0)
+	seen(a, "e3/1")
+	qt.Assert(t, a.inForce["e1/1"], qt.DeepEquals, []string{"j1"})
+
+	a = newRelayTest(t)
+	a.alive = []shard.ID{"e1/1", "e2/1"}
+	a.send("e1/1", proto.Orders{Cancels: []string{"j1"}})
+	seen(a, "e2/1")
+	a.pass(runsOver - 100)
+	qt.Assert(t, a.inForce["e1/1"], qt.HasLen, 0)
+	a.pass(200)
+	qt.Assert(t, a.inForce["e1/1"], qt.DeepEquals, []string{"j1"})
+
+	a = newRelayTest(t)
+	a.do(event.SessionDown{Peer: "e3/1"})
+	a.send("e1/1", proto.Orders{Cancels: []string{"j1"}})
+	seen(a, "e2/1")
+	qt.Assert(t, a.inForce["e1/1"], qt.HasLen, 0)
+	a.do(event.SessionUp{Peer: "e3/2"})
+	a.send("e3/2", proto.Orders{SeenCancel: a.m.lastCancel})
+	qt.Assert(t, a.inForce["e1/1"], qt.DeepEquals, []string{"j1"})
+}
+
+// Load of cancels: what doesn't fit is never said to be in force.
+func TestCancelThatCannotBeRememberedIsNotInForce(t *testing.T) {
+	a := newRelayTest(t)
+	for i := range maxCancelled {
+		a.m.cancelledAt[fmt.Sprint(i)] = a.now
+	}
+	a.send("e1/1", proto.Orders{Cancels: []string{"j1"}})
+	for _, id := range a.alive {
+		a.send(id, proto.Orders{SeenCancel: a.m.lastCancel})
+	}
+	a.pass(2000)
+	qt.Assert(t, a.inForce["e1/1"], qt.HasLen, 0)
+}
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -264,8 +264,11 @@
 	reportedAt      clock.Millis
 	// lastCancel is the number of the last relayed cancel that the dispatcher has been sent.
 	lastCancel uint64
-	// cancelled lists the dispatcher's cancels that another one has confirmed since the last report.
+	// cancelled lists the dispatcher's cancels that another one has confirmed since the last report, inForce those that hold.
 	cancelled []string
+	inForce   []string
+	// seenCancel is the number of the last relayed cancel that the dispatcher has handled.
+	seenCancel uint64
 }
 
 // Machine is the state machine of an agent for leased runs.
@@ -331,6 +334,8 @@
 	// cancels are relayed between dispatchers, oldest first; lastCancel is the number of the last one.
 	cancels    []cancel
 	lastCancel uint64
+	// cancelledAt holds when each cancelled job was cancelled; nothing of these jobs starts.
+	cancelledAt map[string]clock.Millis
 }
 
 // New creates the state machine of an agent without a backend server or sessions.
@@ -340,7 +345,7 @@
 	}
 	return &Machine{
 		cfg: cfg, fence: fence{token: cfg.Token, step: fenceStep}, departed: map[Incarnation]bool{}, peers: map[shard.ID]*peer{}, runs: map[string]*run{},
-		orphans: map[string]clock.Millis{},
+		orphans: map[string]clock.Millis{}, cancelledAt: map[string]clock.Millis{},
 	}
 }
 
--- a/internal/runs/peer_controller.go
+++ b/internal/runs/peer_controller.go
@@ -216,7 +216,11 @@
 			m.note(event.Note{Name: "inventory_sent", Peer: id, Count: len(r.Inventory.Runs), Seq: p.lastBegin})
 		}
 		r.Cancels, p.lastCancel = m.unsentCancels(p), m.lastCancel
+		if len(r.Cancels) > 0 {
+			r.LastCancel = m.lastCancel
+		}
 		r.Cancelled, p.cancelled = p.cancelled, nil
+		r.InForce, p.inForce = p.inForce, nil
 		p.markSent()
 		m.emit(event.Send{To: id, Message: proto.Message{Report: &r}})
 	}
--- a/internal/runs/run_controller.go
+++ b/internal/runs/run_controller.go
@@ -13,7 +13,7 @@
 func (m *Machine) handleBegin(p *peer, b proto.Begin, valid bool) {
 	for _, t := range b.Tasks {
 		target := target{service: b.Service, instance: Incarnation{ID: b.Instance, Born: b.Born}, label: t.Requires}
-		how := m.refusal(t, target, valid)
+		how := m.refusal(b, t, target, valid)
 		if how == proto.EndNoRoom {
 			p.wantsUntil = m.now + wantTTL
 		}
@@ -46,9 +46,9 @@
 }
 
 // refusal returns why a task is refused, or an empty string.
-func (m *Machine) refusal(t proto.TaskBegin, target target, valid bool) proto.EndReason {
+func (m *Machine) refusal(b proto.Begin, t proto.TaskBegin, target target, valid bool) proto.EndReason {
 	switch {
-	case !valid, !m.accepting():
+	case !valid, !m.accepting(), m.isCancelled(b.Job):
 		return proto.EndNotBegun
 	case !target.matches(m.instance):
 		m.note(event.Note{Name: "order_outdated", Job: t.Task, Instance: m.instance.ID, Run: t.Run})
