A planned stop has one end for each connection

Cause: a connection counted as idle only behind an answer, so that the drain left unused ones open; and the dispatcher didn't know when connections close.

The dispatcher is told at the SIGTERM when connections close: what doesn't fit before is refused, and each job has its answer by then.

--- a/internal/disp/common.go
+++ b/internal/disp/common.go
@@ -90,6 +90,11 @@
 	ID     string
 }
 
+// Closing announces a planned stop: every answer has to be sent within Within milliseconds.
+type Closing struct {
+	Within clock.Millis
+}
+
 // Members lists the agents of the deployment; the dispatcher keeps sessions open to a subset of them.
 type Members struct {
 	Agents []shard.Member
@@ -248,7 +253,9 @@
 	nextAskAt     clock.Millis
 	stopping      bool
 	drainDeadline clock.Millis
-	exited        bool
+	// closesAt is when the connections of callers are closed; zero while no stop is planned.
+	closesAt clock.Millis
+	exited   bool
 	// placementDue is set when tasks may be placed.
 	placementDue bool
 	// wantRanks holds the lowest rank of the jobs that wait for room, by service; the lowest is the most urgent.
--- a/internal/disp/job_controller.go
+++ b/internal/disp/job_controller.go
@@ -62,7 +62,7 @@
 }
 
 func (m *Machine) newJob(ev Submit) *job {
-	j := &job{Job: ev.Job, tickets: []uint64{ev.Ticket}, received: m.now, deadline: m.now + ev.Job.Timeout - m.cfg.AnswerMargin}
+	j := &job{Job: ev.Job, tickets: []uint64{ev.Ticket}, received: m.now, deadline: m.answerBy(m.now + ev.Job.Timeout - m.cfg.AnswerMargin)}
 	j.remaining = make([]int, len(j.Steps))
 	for s, step := range j.Steps {
 		j.remaining[s] = step.Count
@@ -94,7 +94,10 @@
 
 // refusalReason returns why a job can't be served no matter how much room becomes free, or "" if it can.
 func (m *Machine) refusalReason(j *job) string {
-	if m.now+m.criticalPath(j) > j.deadline {
+	switch fits := m.now+m.criticalPath(j) <= j.deadline; {
+	case !fits && m.closesAt > 0:
+		return "closing"
+	case !fits:
 		return "deadline_too_short"
 	}
 	if m.now-m.startedAt < startupGrace {
--- a/internal/disp/machine.go
+++ b/internal/disp/machine.go
@@ -36,6 +36,8 @@
 		m.callerLeft(ev.Ticket)
 	case Cancel:
 		m.cancel(ev)
+	case Closing:
+		m.close(ev)
 	case event.Stop:
 		m.stop()
 	case event.Tick:
@@ -65,6 +67,23 @@
 	}
 }
 
+// close makes all jobs end before the connections of their callers do; a job that can't is refused when it comes.
+func (m *Machine) close(ev Closing) {
+	m.closesAt = m.now + ev.Within
+	for _, id := range m.jobIDs() {
+		j := m.jobs[id]
+		j.deadline = m.answerBy(j.deadline)
+	}
+}
+
+// answerBy returns when a job has to be answered at the latest.
+func (m *Machine) answerBy(deadline clock.Millis) clock.Millis {
+	if m.closesAt == 0 {
+		return deadline
+	}
+	return min(deadline, m.closesAt-m.cfg.AnswerMargin)
+}
+
 func (m *Machine) stop() {
 	if m.stopping {
 		return
--- a/internal/disp/machine_test.go
+++ b/internal/disp/machine_test.go
@@ -352,3 +352,27 @@
 	}
 	qt.Assert(t, results, qt.DeepEquals, map[uint64]Result{1: Unknown, 2: Refused})
 }
+
+// Review case 7: a stopping entry passed on jobs that it could not answer before it closed the connections of their callers.
+func TestJobsEndBeforeAPlannedStopClosesTheirConnections(t *testing.T) {
+	const within = 5500
+	e := newEntryTest(t, "a1/1", "a2/1")
+	long := jobOf(1, 1, 1000)
+	long.Steps[0].Estimate, long.Timeout = 9000, 15_000
+	e.submit(1, long)
+	e.do(Closing{Within: within})
+	short := jobOf(2, 1, 1000)
+	e.submit(2, short)
+	qt.Assert(t, e.replies(), qt.HasLen, 0)
+	e.submit(3, func() Job { j := long; j.ID = jobOf(3, 1, 0).ID; return j }())
+	qt.Assert(t, e.replies(), qt.HasLen, 1)
+	qt.Assert(t, e.replies()[0].Result, qt.Equals, Refused)
+	qt.Assert(t, e.sentTasks(), qt.HasLen, 0)
+
+	qt.Assert(t, e.pass(within-500, "a1/1", "a2/1"), qt.DeepEquals, []Reply{{Ticket: 2, Result: Unknown, RetryAfter: minRetryAfter}})
+	replies := e.pass(500-10, "a1/1", "a2/1")
+	qt.Assert(t, replies, qt.DeepEquals, []Reply{{Ticket: 1, Result: Unknown, RetryAfter: minRetryAfter}})
+	e.submit(4, jobOf(4, 1, 1000))
+	qt.Assert(t, e.replies(), qt.HasLen, 1)
+	qt.Assert(t, e.replies()[0].Result, qt.Equals, Refused)
+}
--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -36,7 +36,7 @@
 	clock clock.Clock
 
 	mu sync.Mutex
-	// idle says that nothing of another request has been read since the last answer.
+	// idle says that nothing of another request has been read since the last answer, or since the connection began.
 	idle bool
 	// since is when the connection was accepted or the last answer was written; the request in progress was sent after that.
 	since clock.Millis
@@ -104,11 +104,11 @@
 	return c
 }
 
-// closeIfIdle makes the server close the connection, unless a request has begun.
+// closeIfIdle makes the server close the connection, unless a request has begun or the first one is on its way: callers connect to send.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle {
+	if !c.idle || (!c.answered && c.clock.Now()-c.since < slowFirst) {
 		return
 	}
 	c.closing = true
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -249,6 +249,11 @@
 	return ready
 }
 
+// Closing announces that the connections of callers are closed after a time: what can't be answered by then is refused.
+func (d *Dispatcher) Closing(after time.Duration) {
+	d.loop.Push(disp.Closing{Within: clock.Millis(after.Milliseconds())})
+}
+
 // SetAgents sets the agents to which sessions are kept open.
 func (d *Dispatcher) SetAgents(agents []shard.Member) {
 	d.loop.Push(disp.Members{Agents: agents})
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -25,8 +25,9 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
-	// onIdle is called when a connection has become idle; tests wait for it.
+	// onIdle is called when a connection has become idle, onNew when one has begun; tests wait for them.
 	onIdle func()
+	onNew  func()
 }
 
 // Listen serves HTTP at an IP address and port.
@@ -83,6 +84,9 @@
 	switch s {
 	case http.StateNew:
 		l.conns[c] = struct{}{}
+		if l.onNew != nil {
+			l.onNew()
+		}
 	case http.StateIdle:
 		c.rest()
 		if l.onIdle != nil {
@@ -105,5 +109,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, clock: w.clock, since: w.clock.Now()}, nil
+	return &conn{Conn: c, clock: w.clock, since: w.clock.Now(), idle: true}, nil
 }
--- a/internal/node/listen_test.go
+++ b/internal/node/listen_test.go
@@ -125,3 +125,33 @@
 	qt.Check(t, second.StatusCode, qt.Equals, http.StatusNoContent)
 	qt.Assert(t, <-drained, qt.IsNil)
 }
+
+// Review case 7: a stopping entry left connections open that had carried no request, and cut the requests that came there later. A
+// connection that has just begun is kept for a moment, as its request is on the way.
+func TestDrainClosesConnectionsWithoutARequest(t *testing.T) {
+	now := &fakeClock{}
+	socket := &oneListener{conns: make(chan net.Conn, 2), closed: make(chan struct{})}
+	opened := make(chan struct{}, 2)
+	l := serve(socket, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }), now)
+	l.onNew = func() { opened <- struct{}{} }
+	old, theirs := net.Pipe()
+	socket.conns <- theirs
+	<-opened
+	now.now = slowFirst - 1
+	young, theirs := net.Pipe()
+	socket.conns <- theirs
+	<-opened
+	now.now = slowFirst
+
+	drained := make(chan error, 1)
+	go func() { drained <- l.Drain(5 * time.Second) }()
+	_, err := old.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.Equals, io.EOF)
+	_, err = io.WriteString(young, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	answer, err := http.ReadResponse(bufio.NewReader(young), nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, answer.Body.Close(), qt.IsNil)
+	qt.Check(t, answer.StatusCode, qt.Equals, http.StatusNoContent)
+	qt.Assert(t, <-drained, qt.IsNil)
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -189,7 +189,7 @@
 	for _, ev := range append(events, l.waiting()...) {
 		switch ev.(type) {
 		case event.Received, event.Tick:
-		case event.SessionUp, event.SessionDown, event.TableDone, event.Stop, disp.Members, call:
+		case event.SessionUp, event.SessionDown, event.TableDone, event.Stop, disp.Members, disp.Closing, call:
 			l.handle(now, ev)
 		default:
 			l.stale(ev)
