Requests that a standstill may have held up are refused until the last can have come

Cause: the entry waits for the end of a used connection for 3 ms, a guess at a round trip. Ruled out: the 250 ms in which all is refused after a standstill (the request came later, sent again by the caller's system).

A sender's pauses double, so that what was sent during a standstill arrives at the latest as long after it as it lasted, and one first pause (RFC 6298: 1 s at most). Until then the first request on a connection of before the wake-up is refused, if its caller may have left.

--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -70,6 +70,13 @@
 	return 0
 }
 
+// mayBeFrom reports whether the request in progress may be one of a standstill whose caller has left.
+func (c *conn) mayBeFrom(s stall, patience clock.Millis) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return s.mayOutlast(c.clock.Now(), c.since, patience)
+}
+
 // ended reports whether the peer's end of the connection has arrived and is next to be read. It doesn't wait.
 func (c *conn) ended() bool {
 	socket, ok := c.Conn.(syscall.Conn)
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -205,6 +205,10 @@
 	if d.loop.Resuming() {
 		return disp.Reply{Result: disp.Refused}
 	}
+	if c := connOf(ctx); c != nil && c.mayBeFrom(d.loop.lastStall(), j.Timeout) {
+		d.notes.take(event.Note{Name: "job_refused", Job: j.ID, Class: j.Queue, Reason: "thawed"})
+		return disp.Reply{Result: disp.Refused}
+	}
 	ticket, ch := d.ticket()
 	d.loop.Push(disp.Submit{Ticket: ticket, Job: j})
 	select {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -53,7 +53,9 @@
 	wake      chan struct{}
 	last      clock.Millis
 	resumedAt clock.Millis
-	ended     bool
+	// stall is the last standstill of the process.
+	stall stall
+	ended bool
 }
 
 // NewLoop creates a control thread that has not started.
@@ -90,6 +92,13 @@
 	return l.clock.Now()-l.resumedAt < resumeGrace
 }
 
+// lastStall returns the last standstill of the process.
+func (l *Loop) lastStall() stall {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stall
+}
+
 // Run handles events until the context ends.
 func (l *Loop) Run(ctx context.Context) {
 	ticker := time.NewTicker(l.every)
@@ -183,6 +192,7 @@
 func (l *Loop) dropStale(now clock.Millis, events []event.Event) {
 	l.mu.Lock()
 	l.resumedAt = now
+	l.stall = l.stall.next(l.last, now)
 	l.mu.Unlock()
 	l.last = now
 	l.resume()
