--- a/internal/disp/agent_controller.go
+++ b/internal/disp/agent_controller.go
@@ -30,6 +30,7 @@
 	v.beginSeq = 0
 	v.ackedSeq = 0
 	v.evacuated = evac.Session{}
+	v.spreadTo = 0
 	m.note(event.Note{Name: "session_up", Peer: id})
 	m.heartbeat(v)
 }
@@ -166,6 +167,8 @@
 	o.Stamp = m.now
 	o.AckedEnd = v.lastEnd
 	o.Evacuated = v.evacuated.Due(&m.evacuated)
+	o.SeenCancel = v.seenCancel
+	o.Spread, v.spreadTo = m.unspread(v), m.lastKnown
 	v.lastOrders = m.now
 	m.emit(event.Send{To: v.id, Message: proto.Message{Orders: o}})
 }
@@ -183,6 +186,7 @@
 	v.lastReport = m.now
 	wasPrompt := v.echo.isPrompt(m.now)
 	v.echo.observe(m.now, r.Echo)
+	m.informedAt = max(m.informedAt, min(r.Echo, m.now))
 	mayFit := r.Accepting && (!wasPrompt || !v.accepting || r.Free.CPU > v.free.CPU || r.Free.MemMB > v.free.MemMB || len(r.Ends) > 0)
 	v.free, v.accepting, v.settled, v.ackedSeq = r.Free, r.Accepting, r.Settled, r.LastBegin
 	v.pace, v.normalPace = r.Pace, r.NormalPace
--- a/internal/proto/order.go
+++ b/internal/proto/order.go
@@ -29,12 +29,28 @@
 	Cancelled []RelayedCancel `cbor:"cancelled,omitempty"`
 	// Evacuated is included if the agent is not known to have a state as new.
 	Evacuated *evac.State `cbor:"evacuated,omitempty"`
+	// Spread lists cancels that the dispatcher knows of, which the agent remembers and relays like Cancels; they need no answer.
+	Spread []KnownCancel `cbor:"spread,omitempty"`
+	// SeenCancel is the LastCancel of the newest report with cancels that the dispatcher has handled.
+	SeenCancel uint64 `cbor:"seen_cancel,omitempty"`
+}
+
+// CancelRetention is how long dispatchers and agents remember that a job was cancelled, in milliseconds: its request may arrive again
+// as long as that.
+const CancelRetention = 10 * clock.Second
+
+// KnownCancel is a job that was cancelled some time ago.
+type KnownCancel struct {
+	Job   string       `cbor:"job"`
+	AgeMS clock.Millis `cbor:"age_ms,omitempty"`
 }
 
 // RelayedCancel is the cancel of a job that an agent relays for a dispatcher, the asker.
 type RelayedCancel struct {
 	Job   string   `cbor:"job"`
 	Asker shard.ID `cbor:"asker"`
+	// AgeMS is how long ago the job was cancelled, in milliseconds.
+	AgeMS clock.Millis `cbor:"age_ms,omitempty"`
 }
 
 // Begin starts tasks of one job at the agent.
@@ -130,6 +146,11 @@
 	Evacuated *evac.State `cbor:"evacuated,omitempty"`
 	// WarmUpMS is how much longer the backend server is slow after its start, in milliseconds.
 	WarmUpMS clock.Millis `cbor:"warm_up_ms,omitempty"`
+	// LastCancel is the number of the last relayed cancel that the reports up to this one cover; zero if this one has none.
+	LastCancel uint64 `cbor:"last_cancel,omitempty"`
+	// InForce lists the jobs of the dispatcher's own Cancels of which the agent takes no order, and neither does any dispatcher that
+	// the agent knows.
+	InForce []string `cbor:"in_force,omitempty"`
 }
 
 // Facts describes the backend server beside an agent.
@@ -179,6 +200,14 @@
 	if err := o.Evacuated.Check(); err != nil {
 		return err
 	}
+	for _, c := range o.Spread {
+		if !isID(c.Job) || !isAge(c.AgeMS) {
+			return errors.Errorf("cancel of %.40q, %d ms ago", c.Job, c.AgeMS)
+		}
+	}
+	if len(o.Spread) > MaxCancels {
+		return errors.Errorf("%d known cancels, at most %d allowed", len(o.Spread), MaxCancels)
+	}
 	return checkCancels(o.Cancelled, o.Cancels)
 }
 
@@ -204,6 +233,9 @@
 	if err := r.Evacuated.Check(); err != nil {
 		return err
 	}
+	if err := checkCancels(nil, r.InForce); err != nil {
+		return err
+	}
 	return checkCancels(r.Cancels, r.Cancelled)
 }
 
@@ -212,7 +244,7 @@
 		return errors.Errorf("%d and %d cancels, at most %d allowed", len(cancels), len(jobs), MaxCancels)
 	}
 	for _, c := range cancels {
-		if !isID(c.Job) || !isID(string(c.Asker)) {
+		if !isID(c.Job) || !isID(string(c.Asker)) || !isAge(c.AgeMS) {
 			return errors.Errorf("cancel of %.40q for %.40q", c.Job, c.Asker)
 		}
 	}
@@ -224,6 +256,10 @@
 	return nil
 }
 
+func isAge(d clock.Millis) bool {
+	return d >= 0 && d <= maxStamp
+}
+
 func isID(id string) bool {
 	return id != "" && len(id) <= maxIDLen
 }
