A list of runs that a later one overtook says nothing

Cause: since overdue answers are asked for, two polls are under way at once, and an answer from before an end may come behind the one that told of it. Change: lists name the time on the server's clock at which they were made; one that is older than the last handled is dropped. TestListThatALaterOneOvertookShowsNoOrphan failed without the comparison.

--- a/internal/emul/runner.go
+++ b/internal/emul/runner.go
@@ -190,7 +190,7 @@
 		r.renewLease(until)
 	}
 	r.ended = slices.DeleteFunc(r.ended, func(e runs.Ended) bool { return e.N <= o.AckedEnd })
-	l := runs.PollDone{Number: o.Number, Outcome: runs.OrderDone, Born: r.born, Ended: slices.Clone(r.ended)}
+	l := runs.PollDone{Number: o.Number, Outcome: runs.OrderDone, Born: r.born, Clock: int64(r.world.now), Ended: slices.Clone(r.ended)}
 	for _, task := range sortedKeys(r.runs) {
 		run := r.runs[task]
 		percent := 0.0
--- a/internal/runs/answer_controller_test.go
+++ b/internal/runs/answer_controller_test.go
@@ -152,6 +152,30 @@
 	qt.Check(t, a.m.settled, qt.IsTrue)
 }
 
+// A probe's list from before an end came behind the poll that told of the end: the run counted as an orphan, was stopped, and the agent took
+// nothing until the stop was answered.
+func TestListThatALaterOneOvertookShowsNoOrphan(t *testing.T) {
+	a := newOverdueStart(t)
+	a.answerProbe(first)
+	probe := a.probe().Number
+	ended := []Ended{{N: 1, Task: first.Task, Run: 1, How: proto.EndDone}}
+	a.handle(PollDone{Number: a.m.poll.Number, Outcome: OrderDone, Born: 1, Clock: 501, Ended: ended})
+	a.reportedEnds("e1/1")
+	a.handle(PollDone{Number: probe, Outcome: OrderDone, Born: 1, Clock: 500, Running: []Running{first}})
+	qt.Check(t, actions[HaltRun](a), qt.HasLen, 0)
+	qt.Check(t, a.m.settled, qt.IsTrue)
+
+	// A list that isn't older counts.
+	a.answerPollAt(502, second, Running{Task: "unknown.0.0.0", Run: 1})
+	qt.Check(t, actions[HaltRun](a), qt.HasLen, 1)
+}
+
+func (a *agentTest) answerPollAt(clock int64, running ...Running) {
+	a.t.Helper()
+	qt.Assert(a.t, a.m.poll, qt.IsNotNil)
+	a.handle(PollDone{Number: a.m.poll.Number, Outcome: OrderDone, Born: 1, Clock: clock, Running: running})
+}
+
 // At a server that answers everything an end that is later than estimated costs nothing.
 func TestLateEndsAreNotAskedForWhereAnswersCome(t *testing.T) {
 	a := newAgentTest(t)
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -169,6 +169,8 @@
 	Number  uint64
 	Outcome Outcome
 	Born    int64
+	// Clock is the time on the backend server's clock, in milliseconds, at which it made the lists; zero if it is unknown.
+	Clock   int64
 	Running []Running
 	Ended   []Ended
 }
@@ -347,6 +349,8 @@
 	health        health
 	answers       answerTimes
 	probing       probing
+	// listedAt is the greatest Clock of the lists of this incarnation.
+	listedAt int64
 	// answeredAt is when the backend server last answered, and lossyUntil how long it counts as one that loses answers.
 	answeredAt clock.Millis
 	lossyUntil clock.Millis
--- a/internal/runs/incarnation_controller.go
+++ b/internal/runs/incarnation_controller.go
@@ -53,7 +53,7 @@
 	m.unannounced = true
 	m.leaving = false
 	m.settled = false
-	m.lastEndSeen, m.lastEndAcked = 0, 0
+	m.lastEndSeen, m.lastEndAcked, m.listedAt = 0, 0, 0
 	// The pending poll may have been answered by the old incarnation.
 	m.poll, m.probing.poll = nil, nil
 	clear(m.orphans)
@@ -124,6 +124,7 @@
 	m.leaving = false
 	m.lastEndSeen = 0
 	m.lastEndAcked = 0
+	m.listedAt = 0
 	m.settled = false
 	m.poll, m.probing.poll = nil, nil
 	m.backoffUntil = 0
--- a/internal/runs/lease_controller.go
+++ b/internal/runs/lease_controller.go
@@ -149,6 +149,11 @@
 		return
 	}
 	m.lastEndAcked = max(m.lastEndAcked, poll.AckedEnd)
+	if ev.Clock < m.listedAt {
+		// Answers overtake each other: this one still lists runs whose end is known, and no end that a later one lacks.
+		return
+	}
+	m.listedAt = ev.Clock
 	for _, e := range ev.Ended {
 		m.handleEnded(e)
 	}
