Sessions with more agents while work waits, offers in proportion to it, and the age of the view at refusals

Cause: an entry that refuses knew 35 of 82 agents, and an entry with three times the callers got as many offers as the others. Change: while work waits, an entry adds eight agents each 100 ms up to 64 beyond its usual ones, and drops them after 10 s without waiting; entries say how much work waits, and agents offer freed capacity in proportion to it (stride scheduling, internal/offer); refusals log the mean age of reports and the size of the fleet.

--- a/internal/disp/agent_controller.go
+++ b/internal/disp/agent_controller.go
@@ -145,8 +145,8 @@
 
 // requestRoom tells the agents of a service that tasks are waiting, so that they report free room at once. Later messages
 // repeat the request, and the first message after the wait queue is empty withdraws it.
-func (m *Machine) requestRoom(service string, rank int) {
-	m.wantRanks[service] = rank
+func (m *Machine) requestRoom(service string, rank int, waiting int64) {
+	m.wants[service] = want{rank: rank, waiting: waiting}
 	for _, id := range m.agentIDs() {
 		v := m.agents[id]
 		if v.attached && v.facts.Service == service && (v.wantSentAt == 0 || m.now-v.wantSentAt >= wantInterval || rank < v.wantRank) {
@@ -157,9 +157,9 @@
 
 func (m *Machine) sendOrders(v *agentView, o *proto.Orders) {
 	v.wantSentAt = 0
-	if rank, ok := m.wantRanks[v.facts.Service]; ok && m.waitQueue.Len() > 0 {
-		o.Want, o.Rank = true, rank
-		v.wantSentAt, v.wantRank = m.now, rank
+	if w, ok := m.wants[v.facts.Service]; ok && m.waitQueue.Len() > 0 {
+		o.Want, o.Rank, o.Waiting = true, w.rank, w.waiting
+		v.wantSentAt, v.wantRank = m.now, w.rank
 	}
 	o.Stamp = m.now
 	o.AckedEnd = v.lastEnd
--- a/internal/disp/choice_controller_test.go
+++ b/internal/disp/choice_controller_test.go
@@ -66,6 +66,70 @@
 	qt.Check(t, again[:27], qt.DeepEquals, first[:27])
 }
 
+// A burst fills the agents that an entry knows, while others of the fleet have room: the entry opens sessions with more of them
+// while work waits, step by step, and closes them after a time without waiting.
+func TestEntryWithWaitingWorkLearnsOfMoreAgents(t *testing.T) {
+	e := newEntryTest(t)
+	e.m.cfg.Zone = "z0"
+	e.do(Members{Agents: fleet(3, 25)})
+	usual := e.connected()
+	qt.Assert(t, usual, qt.HasLen, 41)
+	for _, id := range usual {
+		e.attach(id + "/1")
+		e.report(id+"/1", proto.Report{Accepting: true, Settled: true})
+	}
+	e.pass(100, names(usual)...)
+	e.submit(1, jobOf(1, 1, 4000))
+	e.do(event.Tick{})
+	wider := e.connected()
+	qt.Assert(t, wider, qt.HasLen, 49)
+	qt.Check(t, wider[:41], qt.DeepEquals, usual)
+
+	for _, id := range names(wider[41:48]) {
+		e.do(event.SessionUp{Peer: id, Role: proto.RoleAgent})
+		e.report(id, proto.Report{Accepting: true, Settled: true, Facts: &proto.Facts{Service: "s"}, Inventory: &proto.Inventory{}})
+	}
+	qt.Check(t, e.sentTasks(), qt.HasLen, 0)
+	e.attach(wider[48] + "/1")
+	qt.Check(t, e.sentTasks(), qt.DeepEquals, map[shard.ID]int{wider[48] + "/1": 1})
+	e.pass(9000, names(wider)...)
+	e.do(Members{Agents: fleet(3, 25)})
+	qt.Check(t, e.connected(), qt.DeepEquals, wider)
+	e.pass(1500, names(wider)...)
+	e.do(Members{Agents: fleet(3, 25)})
+	qt.Check(t, e.connected(), qt.DeepEquals, usual)
+}
+
+// names returns the incarnations of agents that tests attach.
+func names(ids []shard.ID) (list []shard.ID) {
+	for _, id := range ids {
+		list = append(list, id+"/1")
+	}
+	return list
+}
+
+// A refusal logs what the entry knew: the agents, the fleet, and the mean age of the reports beside that of the oldest.
+func TestRefusalTellsHowOldTheViewWas(t *testing.T) {
+	e := newEntryTest(t, "a1/1", "a2/1")
+	e.do(Members{Agents: []shard.Member{{ID: "a1"}, {ID: "a2"}, {ID: "a3"}}})
+	full := proto.Report{Accepting: true, Settled: true}
+	e.report("a1/1", full)
+	e.report("a2/1", full)
+	e.submit(1, jobOf(1, 1, 4000))
+	e.now += 60
+	e.report("a1/1", full)
+	e.now += 20
+	e.do(event.Tick{})
+	for _, a := range e.out {
+		if n, ok := a.(event.Note); ok && n.Name == "job_refused" {
+			qt.Check(t, []clock.Millis{n.Age, n.MeanAge}, qt.DeepEquals, []clock.Millis{80, 50})
+			qt.Check(t, []int{n.Agents, n.Fleet}, qt.DeepEquals, []int{2, 3})
+			return
+		}
+	}
+	t.Error("no refusal was logged")
+}
+
 // An agent with tasks of this dispatcher keeps its session when others rank above it; once it has no tasks, its session is closed
 // and it gets no more tasks.
 func TestSessionWithTasksOutlivesAChangeOfTheChoice(t *testing.T) {
@@ -118,6 +182,7 @@
 	told := e.orders("a1/1")
 	qt.Assert(t, told, qt.HasLen, 1)
 	qt.Check(t, told[0].Want, qt.IsTrue)
+	qt.Check(t, told[0].Waiting, qt.Equals, int64(4000))
 	e.submit(3, jobOf(3, 1, 4000))
 	qt.Check(t, e.orders("a1/1"), qt.HasLen, 0)
 	e.now += 100
--- a/internal/disp/common.go
+++ b/internal/disp/common.go
@@ -8,6 +8,7 @@
 	"corianderspur.example/corianderspur/internal/proto"
 	"corianderspur.example/corianderspur/internal/room"
 	"corianderspur.example/corianderspur/internal/shard"
+	"corianderspur.example/corianderspur/internal/subset"
 	"corianderspur.example/corianderspur/internal/wait"
 )
 
@@ -202,6 +203,13 @@
 	backoffUntil clock.Millis
 }
 
+// want is the lowest rank of the jobs that wait for room, which is the most urgent, and the CPU that jobs of that rank need, in
+// thousandths of a core.
+type want struct {
+	rank    int
+	waiting int64
+}
+
 type inFlightTask struct {
 	seq  uint64
 	need room.Resources
@@ -220,6 +228,9 @@
 	chosen map[shard.ID]clock.Millis
 	// nextChoice is when agents are chosen again.
 	nextChoice clock.Millis
+	// widening sets extraAgents, the number of chosen agents beyond the usual ones.
+	widening    subset.Widening
+	extraAgents int
 	// sortedIDs caches the sorted ids of the agents; nil after a change.
 	sortedIDs []shard.ID
 	jobs      map[string]*job
@@ -241,9 +252,9 @@
 	exited        bool
 	// placementDue is set when tasks may be placed.
 	placementDue bool
-	// wantRanks holds the lowest rank of the jobs that wait for room, by service; the lowest is the most urgent.
-	wantRanks map[string]int
-	timings   map[string]*timing
+	// wants holds what waits for room, by service.
+	wants   map[string]want
+	timings map[string]*timing
 	// startedAt is when the dispatcher handled its first event.
 	startedAt clock.Millis
 }
@@ -268,7 +279,7 @@
 		cfg.IdleSilence = cfg.Silence
 	}
 	return &Machine{
-		wantRanks: map[string]int{}, chosen: map[shard.ID]clock.Millis{},
+		wants: map[string]want{}, chosen: map[shard.ID]clock.Millis{},
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), agents: map[shard.ID]*agentView{}, jobs: map[string]*job{},
 		tickets: map[uint64]string{}, recent: map[string]outcome{}, timings: map[string]*timing{}, guards: map[string]*wait.Reservation{},
 	}
--- a/internal/disp/job_controller.go
+++ b/internal/disp/job_controller.go
@@ -262,14 +262,20 @@
 
 // addDecisionInputs adds the figures that a decision on a job was based on.
 func (m *Machine) addDecisionInputs(n *event.Note, service string) {
-	n.Waiting = m.waitQueue.Len()
+	n.Waiting, n.Fleet = m.waitQueue.Len(), len(m.ranked)
+	ages := clock.Millis(0)
 	for _, v := range m.agents {
 		if m.usable(v, service) {
 			n.Agents++
 			n.Free += max(v.estimatedFree().CPU, 0)
-			n.Age = max(n.Age, m.now-v.lastReport)
+			age := m.now - v.lastReport
+			n.Age = max(n.Age, age)
+			ages += age
 		}
 	}
+	if n.Agents > 0 {
+		n.MeanAge = ages / clock.Millis(n.Agents)
+	}
 }
 
 // removeJob forgets a job and stops the runs of its tasks in state sent.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -90,12 +90,15 @@
 	Seq   uint64
 	Count int
 	Took  clock.Millis
-	// Agents, Free, Age and Waiting are the inputs of a decision: the number of usable agents, their known free room in
-	// thousandths of a core, the age of the oldest of their reports in milliseconds, and the number of waiting jobs.
+	// Agents, Free, Age, MeanAge and Waiting are the inputs of a decision: the number of usable agents, their known free room in
+	// thousandths of a core, the age of the oldest of their reports and the mean age in milliseconds, and the number of waiting jobs.
 	Agents  int
 	Free    int64
 	Age     clock.Millis
+	MeanAge clock.Millis
 	Waiting int
+	// Fleet is the number of agents of the deployment, known or not.
+	Fleet int
 	// Placed is how long after its arrival the last task of a job was sent to an agent, and Returned how many of its runs
 	// agents returned for lack of room.
 	Placed   clock.Millis
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -38,6 +38,9 @@
 	capacity metric.Int64Counter
 	idle     metric.Int64Histogram
 	work     metric.Int64Counter
+	// viewAge and viewKnown measure what dispatchers knew of the agents when they refused jobs.
+	viewAge   metric.Int64Histogram
+	viewKnown metric.Int64Histogram
 
 	mu    sync.Mutex
 	names map[string]bool
@@ -89,6 +92,13 @@
 	if m.work, err = mt.Int64Counter("corianderspur.work_core_ms"); err != nil {
 		return err
 	}
+	if m.viewAge, err = mt.Int64Histogram("corianderspur.view_age_at_refusal_ms", buckets); err != nil {
+		return err
+	}
+	percent := metric.WithExplicitBucketBoundaries(10, 20, 30, 40, 50, 60, 70, 80, 90, 99)
+	if m.viewKnown, err = mt.Int64Histogram("corianderspur.view_known_at_refusal_percent", percent); err != nil {
+		return err
+	}
 	m.version, err = mt.Int64Gauge("corianderspur.configuration_version")
 	return err
 }
@@ -111,12 +121,13 @@
 	case "job_completed", "job_failed", "job_refused", "job_unknown", "job_cancelled":
 		m.response.Record(ctx, int64(n.Took), metric.WithAttributes(class, attribute.String("result", n.Name)))
 		m.work.Add(ctx, n.Work/1000, metric.WithAttributes(class, attribute.String("result", n.Name), attribute.Bool("late", n.Late)))
+		m.recordView(n)
 		count = 1
 	case "job_begun":
 		m.wait.Record(ctx, int64(n.Took), metric.WithAttributes(class))
 		count = 1
 	case "backend_server", "backend_server_drains", "backend_server_left", "backend_server_reborn", "inventory", "inventory_sent", "cancel_found",
-		"cancel_not_found":
+		"cancel_not_found", "choice_widened", "choice_narrowed":
 		count = 1
 	case "usage_while_work_waits":
 		m.capacity.Add(ctx, n.Usage.UsedCoreMS, metric.WithAttributes(attribute.String("state", "used")))
@@ -133,6 +144,17 @@
 		attribute.String("name", n.Name), attribute.String("reason", reason), attribute.String("binding", n.Binding), class))
 }
 
+// recordView records the age of the reports that a refusal was based on, and the share of the agents that they came from.
+func (m *Meter) recordView(n event.Note) {
+	if n.Agents == 0 || n.Fleet == 0 {
+		return
+	}
+	ctx := context.Background()
+	m.viewAge.Record(ctx, int64(n.MeanAge), metric.WithAttributes(attribute.String("reports", "mean")))
+	m.viewAge.Record(ctx, int64(n.Age), metric.WithAttributes(attribute.String("reports", "oldest")))
+	m.viewKnown.Record(ctx, int64(100*n.Agents/n.Fleet))
+}
+
 func (m *Meter) tenant(name string) attribute.KeyValue {
 	return m.bounded("tenant", name)
 }
--- a/internal/node/notes.go
+++ b/internal/node/notes.go
@@ -48,8 +48,10 @@
 	add(n.Seq != 0, "seq", n.Seq)
 	add(n.Count != 0, "count", n.Count)
 	if n.Agents != 0 {
-		kv = append(kv, "agents", n.Agents, "free", n.Free, "age_ms", int64(n.Age), "waiting", n.Waiting)
+		kv = append(kv, "agents", n.Agents, "free", n.Free, "age_ms", int64(n.Age), "age_mean_ms", int64(n.MeanAge))
 	}
+	add(n.Agents != 0 || n.Waiting != 0, "waiting", n.Waiting)
+	add(n.Fleet != 0, "fleet", n.Fleet)
 	add(n.Binding != "", "binding", n.Binding)
 	add(n.Work != 0, "core_ms", n.Work/1000)
 	add(n.Late, "late", n.Late)
--- a/internal/runs/peer_controller.go
+++ b/internal/runs/peer_controller.go
@@ -78,6 +78,7 @@
 	}
 	if !p.up && m.now-p.downAt > peerRetention && m.runCount(p) == 0 {
 		delete(m.peers, p.id)
+		m.shares.Forget(p.id)
 	}
 }
 
@@ -158,7 +159,7 @@
 	if m.now >= p.wantsUntil || o.Rank < p.rank {
 		p.dirty = true
 	}
-	p.wantsUntil, p.rank = m.now+wantTTL, o.Rank
+	p.wantsUntil, p.rank, p.waiting = m.now+wantTTL, o.Rank, o.Waiting
 }
 
 // echoInterval is the least time between reports that only answer heartbeats, in milliseconds.
