--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -73,16 +73,17 @@
 
 func (m *Machine) poolOf(views []*agentView) *pool {
 	p := &pool{views: views}
-	normal := normalPace(views)
+	normal, least := normalPace(views), leastColdness(views, m.now, m.cfg.ColdFactor)
 	for _, v := range views {
+		cold := v.coldness(m.now, m.cfg.ColdFactor) / least
 		c := place.Candidate{
-			ID: v.id, Free: v.estimatedFree(), Total: v.facts.Total, Labels: v.facts.Labels, Slow: v.slowness(normal), Failing: v.failureRate,
+			ID: v.id, Free: v.estimatedFree(), Total: v.facts.Total, Labels: v.facts.Labels, Slow: max(v.slowness(normal), cold), Failing: v.failureRate,
 			Remote: m.cfg.Zone != "" && v.facts.Zone != m.cfg.Zone,
 		}
 		p.candidates = append(p.candidates, c)
 		p.total = p.total.Plus(c.Total)
-		if c.Free.CPU > 0 && c.Slow == 1 {
-			p.free = p.free.Plus(c.Free)
+		if c.Free.CPU > 0 && c.Slow <= cold {
+			p.free = p.free.Plus(c.Free.Times(1 / cold))
 		}
 	}
 	return p
@@ -243,7 +244,7 @@
 		v := views[c]
 		if begins[c] == nil {
 			v.beginSeq++
-			begins[c] = &proto.Begin{Seq: v.beginSeq, Job: j.ID, Service: j.Service, Spec: j.Spec, Rank: j.queued.OwnRank()}
+			begins[c] = &proto.Begin{Seq: v.beginSeq, Job: j.ID, Service: j.Service, Spec: j.Spec, Rank: j.queued.OwnRank(), Instance: v.facts.Instance, Born: v.facts.Born}
 		}
 		step := j.Steps[t.step]
 		t.state = sent
@@ -258,7 +259,7 @@
 		}
 		j.lastSent = m.now
 		begins[c].Tasks = append(begins[c].Tasks, proto.TaskBegin{
-			Task: t.name, Run: t.run, Need: step.Need, EstimateMS: step.Estimate,
+			Task: t.name, Run: t.run, Need: step.Need, EstimateMS: step.Estimate, Requires: step.Requires,
 		})
 		v.inFlight = append(v.inFlight, inFlightTask{seq: v.beginSeq, need: step.Need})
 	}
