--- a/internal/disp/choice_controller_test.go
+++ b/internal/disp/choice_controller_test.go
@@ -130,6 +130,28 @@
 	t.Error("no refusal was logged")
 }
 
+// A burst fills the fleet: once a run has come back, a report that was made a moment ago is no reason to send a task, but a new one
+// is. The job waits meanwhile, without the time that a run takes to come back.
+func TestOldReportsGetNoTasksWhileRunsComeBack(t *testing.T) {
+	e := newEntryTest(t, "a1/1", "a2/1")
+	full := proto.Report{Accepting: true, Settled: true}
+	free := proto.Report{Free: room.Resources{CPU: 4000, MemMB: 1000}, Accepting: true, Settled: true}
+	e.report("a2/1", full)
+	e.submit(1, jobOf(1, 1, 4000))
+	qt.Assert(t, e.sentTasks(), qt.DeepEquals, map[shard.ID]int{"a1/1": 1})
+	e.reports["a1/1"] = full
+	e.reportEnd("a1/1", taskName(0), proto.EndNoRoom)
+	qt.Assert(t, e.sentTasks(), qt.HasLen, 0)
+	e.do(CallerLeft{Ticket: 1})
+
+	e.report("a2/1", free)
+	e.now += 20
+	e.submit(2, jobOf(2, 1, 4000))
+	qt.Check(t, e.sentTasks(), qt.HasLen, 0)
+	e.report("a2/1", free)
+	qt.Check(t, e.sentTasks(), qt.DeepEquals, map[shard.ID]int{"a2/1": 1})
+}
+
 // An agent with tasks of this dispatcher keeps its session when others rank above it; once it has no tasks, its session is closed
 // and it gets no more tasks.
 func TestSessionWithTasksOutlivesAChangeOfTheChoice(t *testing.T) {
