--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -283,7 +283,9 @@
 	waiting int64
 	// offerRound is the round of the last capacity offer to the dispatcher.
 	offerRound uint64
-	reportedAt clock.Millis
+	// reportedAt is when the last report was sent, and reportedPace the pace in it.
+	reportedAt   clock.Millis
+	reportedPace float64
 	// lastCancel is the number of the last relayed cancel that the dispatcher has been sent.
 	lastCancel uint64
 	// evacuated tracks which evacuated zones the dispatcher has heard of in this session.
