--- a/internal/node/conn.go
+++ b/internal/node/conn.go
@@ -36,7 +36,7 @@
 	clock clock.Clock
 
 	mu sync.Mutex
-	// idle says that nothing of another request has been read since the last answer.
+	// idle says that nothing of another request has been read since the last answer, or since the connection began.
 	idle bool
 	// since is when the connection was accepted or the last answer was written; the request in progress was sent after that.
 	since clock.Millis
@@ -70,6 +70,13 @@
 	return 0
 }
 
+// mayBeFrom reports whether the request in progress may be one of a standstill whose caller has left.
+func (c *conn) mayBeFrom(s stall, patience clock.Millis) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return s.mayOutlast(c.clock.Now(), c.since, patience)
+}
+
 // ended reports whether the peer's end of the connection has arrived and is next to be read. It doesn't wait.
 func (c *conn) ended() bool {
 	socket, ok := c.Conn.(syscall.Conn)
@@ -104,11 +111,11 @@
 	return c
 }
 
-// closeIfIdle makes the server close the connection, unless a request has begun.
+// closeIfIdle makes the server close the connection, unless a request has begun or the first one is on its way: callers connect to send.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle {
+	if !c.idle || (!c.answered && c.clock.Now()-c.since < slowFirst) {
 		return
 	}
 	c.closing = true
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -290,8 +290,11 @@
 	lastCancel uint64
 	// evacuated tracks which evacuated zones the dispatcher has heard of in this session.
 	evacuated evac.Session
-	// cancelled lists the dispatcher's cancels that another one has confirmed since the last report.
+	// cancelled lists the dispatcher's cancels that another one has confirmed since the last report, inForce those that hold.
 	cancelled []string
+	inForce   []string
+	// seenCancel is the number of the last relayed cancel that the dispatcher has handled.
+	seenCancel uint64
 }
 
 // Machine is the state machine of an agent for leased runs.
@@ -368,6 +371,8 @@
 	evacuatedBy     clock.Millis
 	// warmUntil is when the backend server has its full speed.
 	warmUntil clock.Millis
+	// cancelledAt holds when each cancelled job was cancelled; nothing of these jobs starts.
+	cancelledAt map[string]clock.Millis
 }
 
 // New creates the state machine of an agent without a backend server or sessions.
@@ -377,7 +382,7 @@
 	}
 	return &Machine{
 		cfg: cfg, fence: fence{token: cfg.Token, step: fenceStep}, departed: map[Incarnation]bool{}, peers: map[shard.ID]*peer{}, runs: map[string]*run{},
-		orphans: map[string]clock.Millis{}, shares: offer.NewShares(), awaitsEvacuated: cfg.EvacuationWait > 0,
+		orphans: map[string]clock.Millis{}, cancelledAt: map[string]clock.Millis{}, shares: offer.NewShares(), awaitsEvacuated: cfg.EvacuationWait > 0,
 	}
 }
 
