Keep kinds of tasks apart that slow each other down

Agents report the mean shares of what ran beside a run, and what the kinds there take; a dispatcher learns from them per service, and placement subtracts the slowdown that a task would suffer and cause, weighted by the share of CPU that is free. Off unless the entry's setting keep_apart names the service; without it messages and placements are as before, to the last draw. The pairs are logged, listed at /v1/disturbances of the metrics address and by the command disturbances; tasks_kept_apart counts placements.

--- a/internal/cmds/app.go
+++ b/internal/cmds/app.go
@@ -57,6 +57,7 @@
 	a.kp.HelpFlag.Short('h')
 	a.addRoles()
 	a.addOperator()
+	a.addDisturbances()
 	a.addCaller()
 	a.addLoad()
 	return a
--- a/internal/conf/leased.go
+++ b/internal/conf/leased.go
@@ -54,6 +54,8 @@
 	DrainLimitMS clock.Millis `json:"drain_limit_ms" validate:"min=0,max=600000"`
 	// FarFactor is how much longer a task takes away from its data.
 	FarFactor float64 `json:"far_factor" validate:"min=1,max=1000"`
+	// KeepApart lists the services whose kinds of tasks are kept apart where they slow each other down and there is room; * stands for all.
+	KeepApart []string `json:"keep_apart" validate:"max=64,dive,min=1,max=256"`
 	// FeedWaitMS is how long the table service may hold a request for changes back, in milliseconds.
 	FeedWaitMS clock.Millis `json:"feed_wait_ms" validate:"min=10,max=30000"`
 	// TickMS is the time between ticks of the state machine, in milliseconds.
--- a/internal/disp/agent_controller.go
+++ b/internal/disp/agent_controller.go
@@ -182,6 +182,7 @@
 	v.echo.observe(m.now, r.Echo)
 	mayFit := r.Accepting && (!wasPrompt || !v.accepting || r.Free.CPU > v.free.CPU || r.Free.MemMB > v.free.MemMB || len(r.Ends) > 0)
 	v.free, v.accepting, v.settled, v.ackedSeq, v.pace = r.Free, r.Accepting, r.Settled, r.LastBegin, r.Pace
+	v.kinds = loads(r.Kinds)
 	if r.Facts != nil {
 		v.facts = *r.Facts
 		mayFit = true
--- a/internal/disp/common.go
+++ b/internal/disp/common.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"corianderspur.example/corianderspur/internal/clock"
+	"corianderspur.example/corianderspur/internal/contend"
 	"corianderspur.example/corianderspur/internal/event"
 	"corianderspur.example/corianderspur/internal/proto"
 	"corianderspur.example/corianderspur/internal/room"
@@ -35,7 +36,9 @@
 	DrainLimit clock.Millis
 	// RemoteFactor is the factor by which a task takes longer away from its data; 0 and 1 mean no difference.
 	RemoteFactor float64
-	Seed         uint64
+	// KeepApart lists the services whose kinds of tasks are kept apart where they slow each other down; AnyService stands for all.
+	KeepApart []string
+	Seed      uint64
 }
 
 // Job is a job whose tasks may be repeated after a failure; times are in milliseconds.
@@ -68,6 +71,8 @@
 	Near     string
 	// Limit is the greatest number of tasks at one backend server; zero means no limit.
 	Limit int
+	// Kind names what the tasks are alike with; empty stands for the job's queue.
+	Kind string
 }
 
 // Submit submits a job; its Reply carries the same ticket.
@@ -192,7 +197,9 @@
 	lastEnd    uint64
 	echo       echo
 	// pace is the agent's measure of its backend server's speed; zero is unknown.
-	pace        float64
+	pace float64
+	// kinds lists what the kinds that are kept apart take there.
+	kinds       []contend.Load
 	failureRate float64
 	// downAt is when the session was lost; zero while it is up.
 	downAt clock.Millis
@@ -244,6 +251,8 @@
 	// wantRanks holds the lowest rank of the jobs that wait for room, by service; the lowest is the most urgent.
 	wantRanks map[string]int
 	timings   map[string]*timing
+	// apart holds what is known of kinds that slow each other down, by service.
+	apart map[string]*contend.Table
 	// startedAt is when the dispatcher handled its first event.
 	startedAt clock.Millis
 }
@@ -270,7 +279,7 @@
 	return &Machine{
 		wantRanks: map[string]int{}, chosen: map[shard.ID]clock.Millis{},
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), agents: map[shard.ID]*agentView{}, jobs: map[string]*job{},
-		tickets: map[uint64]string{}, recent: map[string]outcome{}, timings: map[string]*timing{}, guards: map[string]*wait.Reservation{},
+		tickets: map[uint64]string{}, recent: map[string]outcome{}, timings: map[string]*timing{}, apart: map[string]*contend.Table{}, guards: map[string]*wait.Reservation{},
 	}
 }
 
--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -65,7 +65,7 @@
 	for _, v := range views {
 		c := place.Candidate{
 			ID: v.id, Free: v.estimatedFree(), Total: v.facts.Total, Labels: v.facts.Labels, Slow: v.slowness(normal), Failing: v.failureRate,
-			Remote: m.cfg.Zone != "" && v.facts.Zone != m.cfg.Zone,
+			Kinds: v.kinds, Remote: m.cfg.Zone != "" && v.facts.Zone != m.cfg.Zone,
 		}
 		p.candidates = append(p.candidates, c)
 		p.total = p.total.Plus(c.Total)
@@ -109,6 +109,7 @@
 		// A job that waits for room near its data doesn't hold back jobs that can use other agents.
 		return near
 	}
+	m.noteMoved(j, needs)
 	p.candidates = candidates
 	p.free = p.free.Minus(j.waitingNeed())
 	begun := j.queued.Started
@@ -195,6 +196,7 @@
 }
 
 func (m *Machine) waitingTasks(j *job, near bool) (tasks []*task, needs []place.Task) {
+	apart := m.apartOf(j.Service)
 	for _, t := range j.tasks {
 		if t.state != waiting {
 			continue
@@ -202,10 +204,12 @@
 		step := j.Steps[t.step]
 		maxSlow := m.maxSlowness(j, step)
 		tasks = append(tasks, t)
-		needs = append(needs, place.Task{
+		need := place.Task{
 			Need: step.Need, Requires: step.Requires, Near: step.Near, Far: m.cfg.RemoteFactor,
 			OnlyNear: near && step.Near != "", Limit: step.Limit, Avoid: t.avoid, MaxSlow: maxSlow,
-		})
+		}
+		need.Kind, need.Apart = m.kindOf(j, step), apart
+		needs = append(needs, need)
 	}
 	return tasks, needs
 }
@@ -246,7 +250,7 @@
 		}
 		j.lastSent = m.now
 		begins[c].Tasks = append(begins[c].Tasks, proto.TaskBegin{
-			Task: t.name, Run: t.run, Need: step.Need, EstimateMS: step.Estimate,
+			Task: t.name, Run: t.run, Need: step.Need, EstimateMS: step.Estimate, Kind: m.kindOf(j, step),
 		})
 		v.inFlight = append(v.inFlight, inFlightTask{seq: v.beginSeq, need: step.Need})
 	}
--- a/internal/disp/run_outcomes.go
+++ b/internal/disp/run_outcomes.go
@@ -72,6 +72,7 @@
 	j.remaining[t.step]--
 	v.failureRate -= ewmaWeight * v.failureRate
 	m.recordDuration(j, t, e.TookMS)
+	m.learnApart(v, j, t, e)
 	if j.remaining[t.step] == 0 {
 		m.unblockTasks(j)
 		m.placementDue = true
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -37,7 +37,7 @@
 	id := shard.ID(cfg.Name + "/" + incarnation)
 	machine := disp.New(disp.Config{
 		ID: id, Zone: cfg.AvailabilityZone, Beat: cfg.BeatMS, Silence: cfg.SilenceMS, IdleBeat: cfg.IdleBeatMS, IdleSilence: cfg.IdleSilenceMS, Lease: cfg.LeaseMS, ReattachTimeout: cfg.ReattachMS,
-		AnswerMargin: cfg.AnswerMarginMS, DrainLimit: cfg.DrainLimitMS, RemoteFactor: cfg.FarFactor, Seed: seed,
+		AnswerMargin: cfg.AnswerMarginMS, DrainLimit: cfg.DrainLimitMS, RemoteFactor: cfg.FarFactor, KeepApart: cfg.KeepApart, Seed: seed,
 	})
 	d := &Dispatcher{
 		machine: machine, notes: &notes{log: log, meter: m}, after: time.After, waiting: map[uint64]chan disp.Reply{},
@@ -88,6 +88,12 @@
 	}
 }
 
+// Disturbances returns the pairs of kinds of tasks that are believed to disturb each other.
+func (d *Dispatcher) Disturbances() (list []disp.Disturbance) {
+	d.loop.Do(func(clock.Millis) { list = d.machine.Disturbances() })
+	return list
+}
+
 func (d *Dispatcher) resume(id shard.ID) {
 	d.notes.log.Info("thawed")
 	d.mesh.Reset(id)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 
+	"corianderspur.example/corianderspur/internal/contend"
 	"corianderspur.example/corianderspur/internal/room"
 	"corianderspur.example/corianderspur/internal/shard"
 )
@@ -20,6 +21,8 @@
 	Failing float64
 	// Remote is set if the backend server is in another availability zone than the dispatcher.
 	Remote bool
+	// Kinds lists the shares that the kinds of tasks there take.
+	Kinds []contend.Load
 	// Placed is compared with Task.Limit. The caller sets it to the job's tasks there, of every step, and Choose adds one for each
 	// task that it places there.
 	Placed int
@@ -42,6 +45,9 @@
 	MaxSlow float64
 	// Avoid is an agent on which the task has failed.
 	Avoid shard.ID
+	// Kind names what the task is alike with, and Apart what is known of kinds that disturb each other; nil disregards them.
+	Kind  string
+	Apart *Apart
 }
 
 // Weights of the penalties that are subtracted from an agent's score, which starts as its free share of capacity (0 to 1).
@@ -70,6 +76,7 @@
 		if c := chosen[i]; c >= 0 {
 			candidates[c].Free = candidates[c].Free.Minus(t.Need)
 			candidates[c].Placed++
+			candidates[c].addKind(t)
 		}
 	}
 	return chosen
@@ -77,15 +84,25 @@
 
 func bestCandidate(candidates []Candidate, t Task, rng Source) int {
 	index, topScore := -1, math.Inf(-1)
+	plain, topPlain := -1, math.Inf(-1)
+	free := 0.0
+	if t.Apart != nil {
+		free = freeCPUShare(candidates)
+	}
 	for i := range candidates {
 		c := &candidates[i]
 		if !c.Free.Fits(t.Need) || !Allowed(c.Labels, t) || (t.Limit > 0 && c.Placed >= t.Limit) || isTooSlow(c, t) {
 			continue
 		}
-		if s := score(c, t) + jitterWeight*rng.Float64(); s > topScore {
+		s := score(c, t) + jitterWeight*rng.Float64()
+		if s > topPlain {
+			plain, topPlain = i, s
+		}
+		if s -= disturbance(c, t, free); s > topScore {
 			index, topScore = i, s
 		}
 	}
+	t.countMoved(index, plain)
 	return index
 }
 
--- a/internal/proto/order.go
+++ b/internal/proto/order.go
@@ -53,6 +53,14 @@
 	Need room.Resources `cbor:"need"`
 	// EstimateMS is how long the task is expected to run, in milliseconds.
 	EstimateMS clock.Millis `cbor:"estimate_ms,omitempty"`
+	// Kind names what the task is alike with, for services whose kinds are kept apart.
+	Kind string `cbor:"kind,omitempty"`
+}
+
+// KindShare is the share of a backend server that tasks of a kind take, from 0 to 1.
+type KindShare struct {
+	Kind  string  `cbor:"kind"`
+	Share float64 `cbor:"share"`
 }
 
 // RunRef identifies one run of a task.
@@ -89,6 +97,8 @@
 	How  EndReason `cbor:"how"`
 	// TookMS is how long the run executed, in milliseconds.
 	TookMS clock.Millis `cbor:"took_ms,omitempty"`
+	// Beside lists the mean shares of what ran beside the run, by kind, if it named its own.
+	Beside []KindShare `cbor:"beside,omitempty"`
 }
 
 // Report is a message from an agent to a dispatcher.
@@ -105,6 +115,8 @@
 	Ends    []End `cbor:"ends,omitempty"`
 	// Pace is the progress of the runs at the backend server lately, as estimated run time per run time; zero is unknown.
 	Pace float64 `cbor:"pace,omitempty"`
+	// Kinds lists what the kinds that are kept apart take at the backend server now.
+	Kinds []KindShare `cbor:"kinds,omitempty"`
 	// Facts is included if it changed, and in the first report of a session.
 	Facts *Facts `cbor:"facts,omitempty"`
 	// Inventory lists the dispatcher's runs in the first report of a session, and after each change of the backend server.
@@ -141,6 +153,9 @@
 	maxIDLen   = 256
 )
 
+// MaxKindShares bounds each list of kinds in a message.
+const MaxKindShares = 8
+
 // maxPace bounds the pace of a backend server in a report.
 const maxPace = 1e6
 
@@ -154,6 +169,9 @@
 			if t.Task == "" || t.Run < 1 || !IsAmount(t.Need) {
 				return errors.Errorf("task %q, run %d, need %v", t.Task, t.Run, t.Need)
 			}
+			if len(t.Kind) > maxIDLen {
+				return errors.Errorf("kind %.40q", t.Kind)
+			}
 		}
 	}
 	return checkCancels(o.Cancelled, o.Cancels)
@@ -174,10 +192,28 @@
 		if e.TookMS < 0 || e.TookMS > maxStamp {
 			return errors.Errorf("task %q took %d", e.Task, e.TookMS)
 		}
+		if err := checkKinds(e.Beside); err != nil {
+			return err
+		}
+	}
+	if err := checkKinds(r.Kinds); err != nil {
+		return err
 	}
 	return checkCancels(r.Cancels, r.Cancelled)
 }
 
+func checkKinds(list []KindShare) error {
+	if len(list) > MaxKindShares {
+		return errors.Errorf("%d kinds, at most %d allowed", len(list), MaxKindShares)
+	}
+	for _, k := range list {
+		if !isID(k.Kind) || !(k.Share >= 0 && k.Share <= 1) {
+			return errors.Errorf("share %f of kind %.40q", k.Share, k.Kind)
+		}
+	}
+	return nil
+}
+
 func checkCancels(cancels []RelayedCancel, jobs []string) error {
 	if max(len(cancels), len(jobs)) > MaxCancels {
 		return errors.Errorf("%d and %d cancels, at most %d allowed", len(cancels), len(jobs), MaxCancels)
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -227,6 +227,10 @@
 	progressAt clock.Millis
 	// rank is the priority of the run's job; the lowest comes first.
 	rank int
+	// kind names what the run is alike with, and counted says that it is one of the kinds that are told apart.
+	kind    string
+	counted bool
+	mark    startMark
 	// spec is the input of the run; a queued run is returned to its dispatcher at queueDeadline.
 	spec          string
 	queueDeadline clock.Millis
@@ -332,6 +336,7 @@
 	lossyUntil clock.Millis
 	usage      usage
 	pace       pace
+	beside     beside
 	// offerRound counts the times that capacity became free, lastOffer the offers; nextOfferAt is when the next may be made, and
 	// offering says that there is capacity to offer.
 	offerRound  uint64
--- a/internal/runs/hold_controller.go
+++ b/internal/runs/hold_controller.go
@@ -40,7 +40,7 @@
 func (m *Machine) rejectQueued(r *run) {
 	m.dequeue(r)
 	delete(m.runs, r.task)
-	m.reportEnd(r.peer, r.task, r.run, proto.EndNoRoom, 0)
+	m.reportEnd(r.peer, r.task, r.run, proto.EndNoRoom, 0, nil)
 }
 
 // startQueued starts the queued runs that fit now, the lowest rank first and among equals in the order of their arrival.
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -128,5 +128,14 @@
 	r.Accepting = m.accepting()
 	r.Pace = m.pace.value(m.now)
 	r.Settled = m.settled
+	r.Kinds = m.beside.shares(m.totalCPU())
 	return r
 }
+
+// totalCPU returns the CPU of the backend server, in thousandths of a core; zero if none is known.
+func (m *Machine) totalCPU() int64 {
+	if m.instance == nil {
+		return 0
+	}
+	return m.instance.Total.CPU
+}
--- a/internal/runs/peer_controller.go
+++ b/internal/runs/peer_controller.go
@@ -184,14 +184,14 @@
 }
 
 // reportEnd reports to the dispatcher that a run has ended.
-func (m *Machine) reportEnd(peerID shard.ID, task string, run int, how proto.EndReason, took clock.Millis) {
+func (m *Machine) reportEnd(peerID shard.ID, task string, run int, how proto.EndReason, took clock.Millis, shares []proto.KindShare) {
 	p := m.peers[peerID]
 	if p == nil {
 		return
 	}
 	m.lastEndReported++
 	p.lastEnd = m.lastEndReported
-	p.unackedEnds = append(p.unackedEnds, proto.End{N: p.lastEnd, Task: task, Run: run, How: how, TookMS: took})
+	p.unackedEnds = append(p.unackedEnds, proto.End{N: p.lastEnd, Task: task, Run: run, How: how, TookMS: took, Beside: shares})
 	p.dirty = true
 }
 
--- a/internal/runs/run_controller.go
+++ b/internal/runs/run_controller.go
@@ -16,7 +16,7 @@
 		if how == proto.EndNoRoom {
 			p.wantsUntil = m.now + wantTTL
 		}
-		r := &run{peer: p.id, task: t.Task, run: t.Run, need: t.Need, rank: b.Rank, spec: b.Spec, estimate: t.EstimateMS}
+		r := &run{peer: p.id, task: t.Task, run: t.Run, need: t.Need, rank: b.Rank, spec: b.Spec, estimate: t.EstimateMS, kind: t.Kind}
 		switch {
 		case how == "":
 			m.runs[t.Task] = r
@@ -26,7 +26,7 @@
 			m.runs[t.Task] = r
 			m.enqueue(r)
 		default:
-			m.reportEnd(p.id, t.Task, t.Run, how, 0)
+			m.reportEnd(p.id, t.Task, t.Run, how, 0, nil)
 		}
 	}
 }
@@ -39,6 +39,7 @@
 	r.startPoll = m.lastPoll + 1
 	m.usage.capacityReused(m.now)
 	m.used = m.used.Plus(r.need)
+	m.beside.started(m.now, r)
 	m.leaseRenewedAt = m.now
 	m.emit(StartRun{
 		Instance: m.instance.ID, Born: m.instance.Born, Task: r.task, Run: r.run, Token: m.fence.token, Spec: r.spec, At: m.now,
@@ -181,12 +182,13 @@
 	}
 	delete(m.runs, r.task)
 	m.used = m.used.Minus(r.need)
+	shares := m.beside.ended(m.now, r, m.totalCPU())
 	m.usage.capacityFreed(m.now)
 	runTime := clock.Millis(0)
 	if r.workingSince > 0 {
 		runTime = m.now - r.workingSince
 	}
-	m.reportEnd(r.peer, r.task, r.run, how, runTime)
+	m.reportEnd(r.peer, r.task, r.run, how, runTime, shares)
 	m.startQueued()
 	m.startOfferRound()
 }
