--- a/internal/proto/order_test.go
+++ b/internal/proto/order_test.go
@@ -37,6 +37,23 @@
 	qt.Check(t, r.Check(), qt.IsNil)
 }
 
+// Kinds in a message come from other processes: their number, names and shares are bounded.
+func TestUnboundedKindsAreMalformed(t *testing.T) {
+	long := strings.Repeat("x", 257)
+	for _, kinds := range [][]proto.KindShare{
+		make([]proto.KindShare, proto.MaxKindShares+1), {{Kind: "", Share: 0.5}}, {{Kind: long, Share: 0.5}},
+		{{Kind: "a", Share: -0.1}}, {{Kind: "a", Share: 1.1}}, {{Kind: "a", Share: math.NaN()}},
+	} {
+		r, e := proto.Report{Kinds: kinds}, proto.Report{Ends: []proto.End{{Beside: kinds}}}
+		qt.Check(t, r.Check(), qt.IsNotNil, qt.Commentf("%v", kinds))
+		qt.Check(t, e.Check(), qt.IsNotNil, qt.Commentf("%v", kinds))
+	}
+	r := proto.Report{Kinds: []proto.KindShare{{Kind: "a", Share: 1}}}
+	qt.Check(t, r.Check(), qt.IsNil)
+	o := proto.Orders{Begins: []proto.Begin{{Tasks: []proto.TaskBegin{{Task: "j1.0.0.0", Run: 1, Kind: long}}}}}
+	qt.Check(t, o.Check(), qt.IsNotNil)
+}
+
 // While processes of two versions run, the older ones ignore fields that they don't know.
 func TestFieldsOfLaterVersionsAreIgnored(t *testing.T) {
 	orders := map[string]any{"stamp": 5, "later": []map[string]any{{"job": "j1"}}}
