--- a/internal/disp/agent_controller.go
+++ b/internal/disp/agent_controller.go
@@ -196,6 +196,7 @@
 		v.evacuated.Heard(r.Evacuated.Version)
 		m.learnEvacuated(*r.Evacuated, v.id)
 	}
+	v.kinds = loads(r.Kinds)
 	if r.Facts != nil {
 		v.facts = *r.Facts
 		mayFit = true
--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -81,7 +81,7 @@
 	for _, v := range views {
 		c := place.Candidate{
 			ID: v.id, Free: m.expectedFree(v), Total: v.facts.Total, Labels: v.facts.Labels, Failing: v.failureRate,
-			Remote: m.cfg.Zone != "" && v.facts.Zone != m.cfg.Zone,
+			Kinds: v.kinds, Remote: m.cfg.Zone != "" && v.facts.Zone != m.cfg.Zone,
 		}
 		c.Slow, c.Steady = v.slowness(paces)
 		cold := v.coldness(m.now, m.cfg.ColdFactor) / least
@@ -154,6 +154,7 @@
 		// A job that waits for room near its data doesn't hold back jobs that can use other agents.
 		return near
 	}
+	m.noteMoved(j, needs)
 	p.candidates = candidates
 	p.claimed = p.claimed.Plus(claimed)
 	begun := j.queued.Started
@@ -242,6 +243,7 @@
 }
 
 func (m *Machine) waitingTasks(j *job, near bool) (tasks []*task, needs []place.Task) {
+	apart := m.apartOf(j.Service)
 	for _, t := range j.tasks {
 		if t.state != waiting {
 			continue
@@ -249,10 +251,12 @@
 		step := j.Steps[t.step]
 		maxSlow := m.maxSlowness(j, step)
 		tasks = append(tasks, t)
-		needs = append(needs, place.Task{
+		need := place.Task{
 			Need: step.Need, Requires: step.Requires, Near: step.Near, Far: m.cfg.RemoteFactor,
 			OnlyNear: near && step.Near != "", Limit: step.Limit, Avoid: t.avoid, MaxSlow: maxSlow,
-		})
+		}
+		need.Kind, need.Apart = m.kindOf(j, step), apart
+		needs = append(needs, need)
 	}
 	return tasks, needs
 }
@@ -294,6 +298,7 @@
 		j.lastSent = m.now
 		begins[c].Tasks = append(begins[c].Tasks, proto.TaskBegin{
 			Task: t.name, Run: t.run, Need: step.Need, EstimateMS: step.Estimate, Requires: step.Requires,
+			Kind: m.kindOf(j, step),
 		})
 		v.inFlight = append(v.inFlight, inFlightTask{seq: v.beginSeq, need: step.Need})
 	}
--- a/internal/disp/run_outcomes.go
+++ b/internal/disp/run_outcomes.go
@@ -75,6 +75,7 @@
 	j.remaining[t.step]--
 	v.failureRate -= ewmaWeight * v.failureRate
 	m.recordDuration(j, t, clock.Millis(float64(e.TookMS)/max(v.slow, 1)))
+	m.learnApart(v, j, t, e)
 	if j.remaining[t.step] == 0 {
 		m.unblockTasks(j)
 		m.placementDue = true
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -245,6 +245,10 @@
 	rank int
 	// target is what the run was placed on.
 	target target
+	// kind names what the run is alike with, and counted says that it is one of the kinds that are told apart.
+	kind    string
+	counted bool
+	mark    startMark
 	// spec is the input of the run; a queued run is returned to its dispatcher at queueDeadline.
 	spec          string
 	queueDeadline clock.Millis
@@ -360,6 +364,7 @@
 	lossyUntil clock.Millis
 	usage      usage
 	pace       pace
+	beside     beside
 	// offerRound counts the times that capacity became free; nextOfferAt is when the next offer may be made, and offering says
 	// that there is capacity to offer.
 	offerRound  uint64
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -134,5 +134,14 @@
 	r.Pace, r.NormalPace = m.pace.value(m.now), m.pace.normal()
 	r.Settled = m.settled
 	r.WarmUpMS = m.warmUpLeft()
+	r.Kinds = m.beside.shares(m.totalCPU())
 	return r
 }
+
+// totalCPU returns the CPU of the backend server, in thousandths of a core; zero if none is known.
+func (m *Machine) totalCPU() int64 {
+	if m.instance == nil {
+		return 0
+	}
+	return m.instance.Total.CPU
+}
--- a/internal/study/patterns.go
+++ b/internal/study/patterns.go
@@ -84,6 +84,7 @@
 	for i := range large {
 		large[i].Rate *= 4
 	}
+	disturb := map[[2]string]float64{{"wide-quick", "long"}: 2.5}
 	return []Pattern{
 		{Name: "calm", Kinds: kinds(), Entries: 3, Servers: servers(11)},
 		{Name: "burst", Kinds: kinds(), Entries: 3, Servers: servers(8), Surges: []Surge{{calm, trouble, 1.3, ""}}},
@@ -101,5 +102,9 @@
 		{Name: "longest-burst", Kinds: coarseKinds(), Entries: 4, Servers: with(coarseServers(12), 2, Span{calm + 1000, trouble, 0}),
 			Surges: []Surge{{calm, trouble, 2.5, "long"}}},
 		{Name: "estimates-off", Kinds: kinds(), Entries: 3, Servers: servers(8), Bias: 3},
+		{Name: "disturbing", Kinds: kinds(), Entries: 3, Servers: servers(11), Disturb: disturb},
+		{Name: "disturbing-apart", Kinds: kinds(), Entries: 3, Servers: servers(11), Disturb: disturb, KeepApart: true},
+		{Name: "disturbing-full", Kinds: kinds(), Entries: 3, Servers: servers(8), Disturb: disturb},
+		{Name: "disturbing-full-apart", Kinds: kinds(), Entries: 3, Servers: servers(8), Disturb: disturb, KeepApart: true},
 	}
 }
