Callers of each queue are told to return by the room of their own queue

Cause: one schedule of returns for all refused callers: those of a burst of one queue booked the seconds that callers of other queues could have come back in. Change: a schedule a queue; its limit is a share of what that queue is served. A test that the largest tenth of each kind is served at least half as often as the kind in the patterns longest-burst and quarter-slow (it holds on the code before as well). Seen red on the code before: TestBurstOfOneQueueDelaysOnlyItsOwnReturns (6000 ms in place of 1000).

--- a/internal/disp/common.go
+++ b/internal/disp/common.go
@@ -240,8 +240,9 @@
 	jobs      map[string]*job
 	tickets   map[uint64]string
 	waitQueue wait.Queue
-	// retryTimes spreads the retries of refused callers over time.
-	retryTimes wait.RetrySchedule
+	// retryTimes spreads the retries of refused callers over time, by queue: callers of a burst book the time of their own queue, and
+	// callers of other queues return as soon as theirs has room.
+	retryTimes map[string]*wait.RetrySchedule
 	// guards keep room free for jobs of the first priority, by service.
 	guards map[string]*wait.Reservation
 	// recent remembers the results of ended jobs, and NotFound for cancelled jobs that were not known here.
@@ -287,6 +288,7 @@
 		wantRanks: map[string]int{}, chosen: map[shard.ID]clock.Millis{},
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), agents: map[shard.ID]*agentView{}, jobs: map[string]*job{},
 		tickets: map[uint64]string{}, recent: map[string]outcome{}, timings: map[string]*timing{}, guards: map[string]*wait.Reservation{},
+		retryTimes: map[string]*wait.RetrySchedule{},
 	}
 }
 
--- a/internal/disp/job_controller.go
+++ b/internal/disp/job_controller.go
@@ -236,9 +236,9 @@
 	retryAfter := minRetryAfter
 	switch r {
 	case Completed:
-		m.retryTimes.Served(m.now)
+		m.retryTimesOf(j.Queue).Served(m.now)
 	case Refused:
-		retryAfter = m.retryTimes.Delay(m.now)
+		retryAfter = m.retryTimesOf(j.Queue).Delay(m.now)
 	}
 	for _, t := range j.tickets {
 		m.emit(Reply{Ticket: t, Result: r, RetryAfter: retryAfter})
@@ -263,6 +263,15 @@
 	m.removeJob(j)
 }
 
+func (m *Machine) retryTimesOf(queue string) *wait.RetrySchedule {
+	r := m.retryTimes[queue]
+	if r == nil {
+		r = &wait.RetrySchedule{}
+		m.retryTimes[queue] = r
+	}
+	return r
+}
+
 // addDecisionInputs adds the figures that a decision on a job was based on.
 func (m *Machine) addDecisionInputs(n *event.Note, service string) {
 	n.Waiting = m.waitQueue.Len()
--- a/internal/disp/place_controller_test.go
+++ b/internal/disp/place_controller_test.go
@@ -5,6 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/event"
 	"corianderspur.example/corianderspur/internal/proto"
 	"corianderspur.example/corianderspur/internal/room"
@@ -154,3 +155,26 @@
 	qt.Check(t, begins[0].Born, qt.Equals, int64(5))
 	qt.Check(t, begins[0].Tasks[0].Requires, qt.Equals, "a")
 }
+
+// A burst of one queue is refused on a full deployment: its callers are told later and later seconds, and a caller of another queue the
+// next one.
+func TestBurstOfOneQueueDelaysOnlyItsOwnReturns(t *testing.T) {
+	e := newEntryTest(t, "a1/1")
+	e.report("a1/1", proto.Report{Accepting: true, Settled: true})
+	for i := range 5 {
+		burst := jobOf(i+1, 4, 1000)
+		burst.Queue = "burst"
+		e.submit(uint64(i+1), burst)
+	}
+	other := jobOf(6, 1, 1000)
+	other.Queue = "other"
+	e.submit(6, other)
+	delays := map[uint64]clock.Millis{}
+	for _, r := range e.pass(200, "a1/1") {
+		qt.Check(t, r.Result, qt.Equals, Refused)
+		delays[r.Ticket] = r.RetryAfter
+	}
+	qt.Assert(t, delays, qt.HasLen, 6)
+	qt.Check(t, delays[6], qt.Equals, minRetryAfter)
+	qt.Check(t, delays[5], qt.Equals, 5*minRetryAfter)
+}
--- a/internal/study/central.go
+++ b/internal/study/central.go
@@ -14,6 +14,8 @@
 	Worth float64
 	// InTime, Late, Refused and Lost count jobs; late ones were answered after their objective.
 	InTime, Late, Refused, Lost int
+	// Served says of each job whether the product answered it as complete.
+	Served []bool
 	// Earned and Offered hold the worth by second of arrival.
 	Earned  []float64
 	Offered []float64
--- a/internal/study/play.go
+++ b/internal/study/play.go
@@ -35,9 +35,11 @@
 	}
 	w.Run(warmup + 2*l.Length)
 	out = l.newOutcome()
+	out.Served = make([]bool, len(l.Jobs))
 	for i, c := range callers {
 		switch c.Answer {
 		case disp.Completed:
+			out.Served[i] = true
 			out.answered(l.Jobs[i], c.Answered-c.Sent+l.Jobs[i].At)
 		case disp.Refused:
 			out.Refused++
--- a/internal/study/study_test.go
+++ b/internal/study/study_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -95,3 +96,45 @@
 		})
 	}
 }
+
+// In a burst of the longest kind no size is starved: the largest tenth of each kind is served at least half as often as the kind.
+func TestLargestJobsOfABurstAreNotStarved(t *testing.T) {
+	for _, p := range Patterns() {
+		if p.Name != "longest-burst" && p.Name != "quarter-slow" {
+			continue
+		}
+		t.Run(p.Name, func(t *testing.T) {
+			t.Parallel()
+			l := p.Draw(1)
+			out, violations := PlayProduct(l)
+			qt.Check(t, violations, qt.HasLen, 0)
+			for _, k := range p.Kinds {
+				var sizes []float64
+				for _, j := range l.Jobs {
+					if j.Kind == k.Name {
+						sizes = append(sizes, j.Volume())
+					}
+				}
+				slices.Sort(sizes)
+				large := sizes[len(sizes)*9/10]
+				served, servedLarge, largest := 0.0, 0.0, 0.0
+				for i, j := range l.Jobs {
+					if j.Kind != k.Name {
+						continue
+					}
+					if out.Served[i] {
+						served++
+					}
+					if j.Volume() >= large {
+						largest++
+						if out.Served[i] {
+							servedLarge++
+						}
+					}
+				}
+				share, largeShare := served/float64(len(sizes)), servedLarge/largest
+				qt.Check(t, largeShare >= share/2, qt.IsTrue, qt.Commentf("%s: %.2f of the largest, %.2f of all", k.Name, largeShare, share))
+			}
+		})
+	}
+}
