--- a/internal/disp/agent_controller.go
+++ b/internal/disp/agent_controller.go
@@ -30,6 +30,7 @@
 	v.beginSeq = 0
 	v.ackedSeq = 0
 	v.evacuated = evac.Session{}
+	v.spreadTo = 0
 	m.note(event.Note{Name: "session_up", Peer: id})
 	m.heartbeat(v)
 }
@@ -147,8 +148,8 @@
 
 // requestRoom tells the agents of a service that tasks are waiting, so that they report free room at once. Later messages
 // repeat the request, and the first message after the wait queue is empty withdraws it.
-func (m *Machine) requestRoom(service string, rank int) {
-	m.wantRanks[service] = rank
+func (m *Machine) requestRoom(service string, rank int, waiting int64) {
+	m.wants[service] = want{rank: rank, waiting: waiting}
 	for _, id := range m.agentIDs() {
 		v := m.agents[id]
 		if v.attached && v.facts.Service == service && (v.wantSentAt == 0 || m.now-v.wantSentAt >= wantInterval || rank < v.wantRank) {
@@ -159,13 +160,15 @@
 
 func (m *Machine) sendOrders(v *agentView, o *proto.Orders) {
 	v.wantSentAt = 0
-	if rank, ok := m.wantRanks[v.facts.Service]; ok && m.waitQueue.Len() > 0 {
-		o.Want, o.Rank = true, rank
-		v.wantSentAt, v.wantRank = m.now, rank
+	if w, ok := m.wants[v.facts.Service]; ok && m.waitQueue.Len() > 0 {
+		o.Want, o.Rank, o.Waiting = true, w.rank, w.waiting
+		v.wantSentAt, v.wantRank = m.now, w.rank
 	}
 	o.Stamp = m.now
 	o.AckedEnd = v.lastEnd
 	o.Evacuated = v.evacuated.Due(&m.evacuated)
+	o.SeenCancel = v.seenCancel
+	o.Spread, v.spreadTo = m.unspread(v), m.lastKnown
 	v.lastOrders = m.now
 	m.emit(event.Send{To: v.id, Message: proto.Message{Orders: o}})
 }
@@ -180,10 +183,12 @@
 		m.emit(CloseSession{Peer: from})
 		return
 	}
+	left := m.leftOf(v)
 	v.lastReport = m.now
 	wasPrompt := v.echo.isPrompt(m.now)
 	v.echo.observe(m.now, r.Echo)
-	mayFit := r.Accepting && (!wasPrompt || !v.accepting || r.Free.CPU > v.free.CPU || r.Free.MemMB > v.free.MemMB || len(r.Ends) > 0)
+	m.informedAt = max(m.informedAt, min(r.Echo, m.now))
+	mayFit := r.Accepting && (!wasPrompt || !v.accepting || r.Free.CPU > left.CPU || r.Free.MemMB > left.MemMB || len(r.Ends) > 0)
 	v.free, v.accepting, v.settled, v.ackedSeq = r.Free, r.Accepting, r.Settled, r.LastBegin
 	v.pace, v.normalPace = r.Pace, r.NormalPace
 	v.warmUntil = m.now + r.WarmUpMS
@@ -289,6 +294,16 @@
 	return free
 }
 
+// leftOf returns what other dispatchers have probably left of the free room in the agent's last report.
+func (m *Machine) leftOf(v *agentView) room.Resources {
+	return v.free.Times(m.contention.Left(m.now, m.now-v.lastReport))
+}
+
+// expectedFree returns the agent's estimated free room, less what other dispatchers have probably taken.
+func (m *Machine) expectedFree(v *agentView) room.Resources {
+	return v.estimatedFree().Minus(v.free.Minus(m.leftOf(v)))
+}
+
 // usable reports whether tasks of a service may be sent to the agent.
 func (m *Machine) usable(v *agentView, service string) bool {
 	return v.attached && !v.unchosen && !m.evacuated.Has(v.facts.Zone) && v.accepting && v.echo.isPrompt(m.now) && v.facts.Service == service && m.now >= v.backoffUntil
--- a/internal/disp/common.go
+++ b/internal/disp/common.go
@@ -9,6 +9,8 @@
 	"corianderspur.example/corianderspur/internal/proto"
 	"corianderspur.example/corianderspur/internal/room"
 	"corianderspur.example/corianderspur/internal/shard"
+	"corianderspur.example/corianderspur/internal/stale"
+	"corianderspur.example/corianderspur/internal/subset"
 	"corianderspur.example/corianderspur/internal/wait"
 )
 
@@ -27,6 +29,8 @@
 	IdleSilence clock.Millis
 	// Lease is how long a backend server keeps running tasks after it lost its agent.
 	Lease clock.Millis
+	// ContactLimit is how long jobs are kept when no agent is heard of; zero stands for Silence and Lease on a slow clock.
+	ContactLimit clock.Millis
 	// ReattachTimeout is how long to wait for a lost session to be opened again before jobs that can't wait for the leases of
 	// its runs are given up.
 	ReattachTimeout clock.Millis
@@ -91,6 +95,11 @@
 	ID     string
 }
 
+// Closing announces a planned stop: every answer has to be sent within Within milliseconds.
+type Closing struct {
+	Within clock.Millis
+}
+
 // Members lists the agents of the deployment; the dispatcher keeps sessions open to a subset of them.
 type Members struct {
 	Agents []shard.Member
@@ -207,6 +216,9 @@
 	failureRate float64
 	// downAt is when the session was lost; zero while it is up.
 	downAt clock.Millis
+	// spreadTo is the number of the last known cancel that the agent was sent, and seenCancel that of the last one that it has relayed.
+	spreadTo   uint64
+	seenCancel uint64
 	// unchosen says that the agent is no longer chosen, so that its session is about to be closed.
 	unchosen bool
 	// evacuated tracks which evacuated zones the agent has heard of in this session.
@@ -217,6 +229,13 @@
 	backoffUntil clock.Millis
 }
 
+// want is the lowest rank of the jobs that wait for room, which is the most urgent, and the CPU that jobs of that rank need, in
+// thousandths of a core.
+type want struct {
+	rank    int
+	waiting int64
+}
+
 type inFlightTask struct {
 	seq  uint64
 	need room.Resources
@@ -235,6 +254,11 @@
 	chosen map[shard.ID]clock.Millis
 	// nextChoice is when agents are chosen again.
 	nextChoice clock.Millis
+	// widening sets extraAgents, the number of chosen agents beyond the usual ones.
+	widening    subset.Widening
+	extraAgents int
+	// contention tells how far the free room in old reports can be relied on.
+	contention stale.Contention
 	// sortedIDs caches the sorted ids of the agents; nil after a change.
 	sortedIDs []shard.ID
 	jobs      map[string]*job
@@ -250,15 +274,22 @@
 	recentOrder []outcome
 	// searches are the cancels of jobs that this dispatcher doesn't have, oldest first.
 	searches []*search
+	// known are the cancels that agents are told of, and lastKnown is the number of the last one.
+	known     []knownCancel
+	lastKnown uint64
+	// informedAt is the newest stamp that came back from an agent: all cancels that the agent knew of then have arrived.
+	informedAt clock.Millis
 	// nextAskAt is when the agents may be asked again.
 	nextAskAt     clock.Millis
 	stopping      bool
 	drainDeadline clock.Millis
-	exited        bool
+	// closesAt is when the connections of callers are closed; zero while no stop is planned.
+	closesAt clock.Millis
+	exited   bool
 	// placementDue is set when tasks may be placed.
 	placementDue bool
-	// wantRanks holds the lowest rank of the jobs that wait for room, by service; the lowest is the most urgent.
-	wantRanks map[string]int
+	// wants holds what waits for room, by service.
+	wants     map[string]want
 	timings   map[string]*timing
 	evacuated evac.Register
 	// startedAt is when the dispatcher handled its first event.
@@ -269,6 +300,8 @@
 	id     string
 	result Result
 	at     clock.Millis
+	// inForce says that the cancel of the job is in force everywhere.
+	inForce bool
 }
 
 // timing holds the moving mean of the ratio of actual to estimated duration of a queue's tasks.
@@ -284,8 +317,11 @@
 	if cfg.IdleSilence == 0 {
 		cfg.IdleSilence = cfg.Silence
 	}
+	if cfg.ContactLimit == 0 {
+		cfg.ContactLimit = cfg.Silence + cfg.Lease + cfg.Lease/clockSlackDivisor
+	}
 	return &Machine{
-		wantRanks: map[string]int{}, chosen: map[shard.ID]clock.Millis{},
+		wants: map[string]want{}, chosen: map[shard.ID]clock.Millis{},
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), agents: map[shard.ID]*agentView{}, jobs: map[string]*job{},
 		tickets: map[uint64]string{}, recent: map[string]outcome{}, timings: map[string]*timing{}, guards: map[string]*wait.Reservation{},
 		retryTimes: map[string]*wait.RetrySchedule{},
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -4,6 +4,7 @@
 	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/evac"
 	"corianderspur.example/corianderspur/internal/event"
+	"corianderspur.example/corianderspur/internal/offer"
 	"corianderspur.example/corianderspur/internal/proto"
 	"corianderspur.example/corianderspur/internal/room"
 	"corianderspur.example/corianderspur/internal/shard"
@@ -169,6 +170,8 @@
 	Number  uint64
 	Outcome Outcome
 	Born    int64
+	// Clock is the time on the backend server's clock, in milliseconds, at which it made the lists; zero if it is unknown.
+	Clock   int64
 	Running []Running
 	Ended   []Ended
 }
@@ -276,18 +279,24 @@
 	dirty bool
 	// wantsUntil is the time until which the dispatcher is offered capacity that becomes free.
 	wantsUntil clock.Millis
-	// rank is the priority of the dispatcher's waiting work; the lowest comes first.
-	rank int
-	// lastOfferNumber is the number of the last capacity offer to the dispatcher, and offerRound the round that it belonged to.
-	lastOfferNumber uint64
-	offerRound      uint64
-	reportedAt      clock.Millis
+	// rank is the priority of the dispatcher's waiting work, the lowest comes first; waiting is the CPU that work of that rank needs,
+	// in thousandths of a core.
+	rank    int
+	waiting int64
+	// offerRound is the round of the last capacity offer to the dispatcher.
+	offerRound uint64
+	// reportedAt is when the last report was sent, and reportedPace the pace in it.
+	reportedAt   clock.Millis
+	reportedPace float64
 	// lastCancel is the number of the last relayed cancel that the dispatcher has been sent.
 	lastCancel uint64
 	// evacuated tracks which evacuated zones the dispatcher has heard of in this session.
 	evacuated evac.Session
-	// cancelled lists the dispatcher's cancels that another one has confirmed since the last report.
+	// cancelled lists the dispatcher's cancels that another one has confirmed since the last report, inForce those that hold.
 	cancelled []string
+	inForce   []string
+	// seenCancel is the number of the last relayed cancel that the dispatcher has handled.
+	seenCancel uint64
 }
 
 // Machine is the state machine of an agent for leased runs.
@@ -344,17 +353,19 @@
 	health        health
 	answers       answerTimes
 	probing       probing
+	// listedAt is the greatest Clock of the lists of this incarnation.
+	listedAt int64
 	// answeredAt is when the backend server last answered, and lossyUntil how long it counts as one that loses answers.
 	answeredAt clock.Millis
 	lossyUntil clock.Millis
 	usage      usage
 	pace       pace
-	// offerRound counts the times that capacity became free, lastOffer the offers; nextOfferAt is when the next may be made, and
-	// offering says that there is capacity to offer.
+	// offerRound counts the times that capacity became free; nextOfferAt is when the next offer may be made, and offering says
+	// that there is capacity to offer.
 	offerRound  uint64
-	lastOffer   uint64
 	nextOfferAt clock.Millis
 	offering    bool
+	shares      *offer.Shares
 	// cancels are relayed between dispatchers, oldest first; lastCancel is the number of the last one.
 	cancels    []cancel
 	lastCancel uint64
@@ -364,6 +375,8 @@
 	evacuatedBy     clock.Millis
 	// warmUntil is when the backend server has its full speed.
 	warmUntil clock.Millis
+	// cancelledAt holds when each cancelled job was cancelled; nothing of these jobs starts.
+	cancelledAt map[string]clock.Millis
 }
 
 // New creates the state machine of an agent without a backend server or sessions.
@@ -373,7 +386,7 @@
 	}
 	return &Machine{
 		cfg: cfg, fence: fence{token: cfg.Token, step: fenceStep}, departed: map[Incarnation]bool{}, peers: map[shard.ID]*peer{}, runs: map[string]*run{},
-		orphans: map[string]clock.Millis{}, awaitsEvacuated: cfg.EvacuationWait > 0,
+		orphans: map[string]clock.Millis{}, cancelledAt: map[string]clock.Millis{}, shares: offer.NewShares(), awaitsEvacuated: cfg.EvacuationWait > 0,
 	}
 }
 
--- a/internal/runs/peer_controller.go
+++ b/internal/runs/peer_controller.go
@@ -80,6 +80,7 @@
 	}
 	if !p.up && m.now-p.downAt > peerRetention && m.runCount(p) == 0 {
 		delete(m.peers, p.id)
+		m.shares.Forget(p.id)
 	}
 }
 
@@ -164,7 +165,25 @@
 	if m.now >= p.wantsUntil || o.Rank < p.rank {
 		p.dirty = true
 	}
-	p.wantsUntil, p.rank = m.now+wantTTL, o.Rank
+	p.wantsUntil, p.rank, p.waiting = m.now+wantTTL, o.Rank, o.Waiting
+}
+
+// paceNews is the factor by which the pace has to change before dispatchers with work waiting are told at once.
+const paceNews = 1.5
+
+// reportPace makes a report due to the dispatchers with work waiting that know another pace: they would send tasks to a backend server
+// that has turned slow, or none to one that has recovered. The others learn of it with their next report.
+func (m *Machine) reportPace() {
+	pace := m.pace.value(m.now)
+	if pace == 0 {
+		return
+	}
+	for _, p := range m.peers {
+		known := p.reportedPace
+		if p.up && m.now < p.wantsUntil && known > 0 && max(pace/known, known/pace) >= paceNews {
+			p.dirty = true
+		}
+	}
 }
 
 // echoInterval is the least time between reports that only answer heartbeats, in milliseconds.
@@ -211,6 +230,7 @@
 		p.dirty = false
 		p.reportedAt = m.now
 		r := m.newReport()
+		p.reportedPace = r.Pace
 		r.Echo = p.lastStamp
 		r.LastBegin = p.lastBegin
 		r.Ends = slices.Clone(p.unsent())
@@ -222,8 +242,12 @@
 			m.note(event.Note{Name: "inventory_sent", Peer: id, Count: len(r.Inventory.Runs), Seq: p.lastBegin})
 		}
 		r.Cancels, p.lastCancel = m.unsentCancels(p), m.lastCancel
+		if len(r.Cancels) > 0 {
+			r.LastCancel = m.lastCancel
+		}
 		r.Cancelled, p.cancelled = p.cancelled, nil
 		r.Evacuated = p.evacuated.Due(&m.evacuated)
+		r.InForce, p.inForce = p.inForce, nil
 		p.markSent()
 		m.emit(event.Send{To: id, Message: proto.Message{Report: &r}})
 	}
