--- a/internal/disp/run_outcomes.go
+++ b/internal/disp/run_outcomes.go
@@ -30,6 +30,8 @@
 	case proto.EndNoRoom:
 		j.returned++
 		m.requeue(j, t, reportedEnd(e))
+	case proto.EndOutdated:
+		m.requeue(j, t, reportedEnd(e))
 	case proto.EndNotBegun:
 		v.backoffUntil = m.now + beginBackoff
 		m.requeue(j, t, reportedEnd(e))
@@ -71,7 +73,7 @@
 	t.ran = true
 	j.remaining[t.step]--
 	v.failureRate -= ewmaWeight * v.failureRate
-	m.recordDuration(j, t, e.TookMS)
+	m.recordDuration(j, t, clock.Millis(float64(e.TookMS)/max(v.slow, 1)))
 	if j.remaining[t.step] == 0 {
 		m.unblockTasks(j)
 		m.placementDue = true
--- a/internal/proto/order.go
+++ b/internal/proto/order.go
@@ -47,6 +47,10 @@
 	Tasks   []TaskBegin `cbor:"tasks"`
 	// Rank is the priority of the job; of the runs that wait for resources at the agent, those of the lowest rank start first.
 	Rank int `cbor:"rank,omitempty"`
+	// Instance and Born name the incarnation of the backend server that the tasks were placed on; an agent starts them on no other. An
+	// order without them is for any incarnation.
+	Instance string `cbor:"instance,omitempty"`
+	Born     int64  `cbor:"born,omitempty"`
 }
 
 // TaskBegin is one task of a Begin.
@@ -56,6 +60,8 @@
 	Need room.Resources `cbor:"need"`
 	// EstimateMS is how long the task is expected to run, in milliseconds.
 	EstimateMS clock.Millis `cbor:"estimate_ms,omitempty"`
+	// Requires is a label that the backend server must have; empty for none.
+	Requires string `cbor:"requires,omitempty"`
 }
 
 // RunRef identifies one run of a task.
@@ -81,6 +87,8 @@
 	EndNoRoom EndReason = "no_room"
 	// EndNotBegun is a run that did not start for another reason.
 	EndNotBegun EndReason = "not_begun"
+	// EndOutdated is a run that did not start since the backend server isn't the one that it was placed on.
+	EndOutdated EndReason = "outdated"
 )
 
 // End reports how a run ended; nothing of the run is still executing.
@@ -108,6 +116,8 @@
 	Ends    []End `cbor:"ends,omitempty"`
 	// Pace is the progress of the runs at the backend server lately, as estimated run time per run time; zero is unknown.
 	Pace float64 `cbor:"pace,omitempty"`
+	// NormalPace is the same over a longer time, without what was trouble for this backend server; zero is unknown.
+	NormalPace float64 `cbor:"normal_pace,omitempty"`
 	// Facts is included if it changed, and in the first report of a session.
 	Facts *Facts `cbor:"facts,omitempty"`
 	// Inventory lists the dispatcher's runs in the first report of a session, and after each change of the backend server.
@@ -129,6 +139,9 @@
 	Service string         `cbor:"service"`
 	Total   room.Resources `cbor:"total"`
 	Labels  []string       `cbor:"labels,omitempty"`
+	// Instance and Born name the incarnation of the backend server.
+	Instance string `cbor:"instance,omitempty"`
+	Born     int64  `cbor:"born,omitempty"`
 }
 
 // Inventory lists the runs that still execute or whose end is not known yet.
@@ -174,8 +187,8 @@
 	if f := r.Free; max(f.CPU, f.MemMB, f.GPU) > maxAmount || min(f.CPU, f.MemMB, f.GPU) < -maxAmount {
 		return errors.Errorf("free room %v", f)
 	}
-	if !(r.Pace >= 0 && r.Pace <= maxPace) {
-		return errors.Errorf("pace %f", r.Pace)
+	if !(r.Pace >= 0 && r.Pace <= maxPace && r.NormalPace >= 0 && r.NormalPace <= maxPace) {
+		return errors.Errorf("pace %f, normal %f", r.Pace, r.NormalPace)
 	}
 	if r.Facts != nil && !IsAmount(r.Facts.Total) {
 		return errors.Errorf("total room %v", r.Facts.Total)
--- a/internal/runs/incarnation_controller.go
+++ b/internal/runs/incarnation_controller.go
@@ -1,6 +1,8 @@
 package runs
 
 import (
+	"slices"
+
 	"corianderspur.example/corianderspur/internal/event"
 	"corianderspur.example/corianderspur/internal/proto"
 )
@@ -53,7 +55,7 @@
 	m.settled = false
 	m.lastEndSeen, m.lastEndAcked = 0, 0
 	// The pending poll may have been answered by the old incarnation.
-	m.poll = nil
+	m.poll, m.probing.poll = nil, nil
 	clear(m.orphans)
 	for _, task := range m.sortedTasks() {
 		m.enterIncarnation(m.runs[task])
@@ -92,7 +94,7 @@
 
 // verifyIncarnation makes a new poll decide which incarnation of the backend server is there; nothing is accepted until then.
 func (m *Machine) verifyIncarnation() {
-	m.poll = nil
+	m.poll, m.probing.poll = nil, nil
 	m.settled = false
 	m.markAllDirty()
 }
@@ -123,9 +125,10 @@
 	m.lastEndSeen = 0
 	m.lastEndAcked = 0
 	m.settled = false
-	m.poll = nil
+	m.poll, m.probing.poll = nil, nil
 	m.backoffUntil = 0
 	m.health = health{}
+	m.answers = answerTimes{}
 	m.pace = pace{}
 	clear(m.orphans)
 	m.note(event.Note{Name: "backend_server", Instance: in.ID, Count: int(in.Total.CPU)})
@@ -133,7 +136,8 @@
 }
 
 func (m *Machine) updateInstance(in Instance) {
-	changed := in.Draining != m.instance.Draining || in.Total != m.instance.Total || in.Service != m.instance.Service
+	changed := in.Draining != m.instance.Draining || in.Total != m.instance.Total || in.Service != m.instance.Service ||
+		!slices.Equal(in.Labels, m.instance.Labels)
 	if in.Draining && !m.instance.Draining {
 		m.note(event.Note{Name: "backend_server_drains", Instance: in.ID, Count: len(m.runs)})
 	}
@@ -166,6 +170,6 @@
 	m.instance = nil
 	m.leaving = false
 	m.settled = false
-	m.poll = nil
+	m.poll, m.probing.poll = nil, nil
 	m.markAllFull()
 }
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -63,6 +63,7 @@
 		m.expireLease()
 	}
 	m.checkPollTimeout()
+	m.checkAnswers()
 	m.expireCancels()
 	if m.stopping && !m.exited && (len(m.runs) == 0 || m.now >= m.drainDeadline) && m.endsDelivered() {
 		m.exited = true
@@ -129,7 +130,7 @@
 		r.Free = m.instance.Total.Minus(m.used).Minus(m.queuedNeed)
 	}
 	r.Accepting = m.accepting()
-	r.Pace = m.pace.value(m.now)
+	r.Pace, r.NormalPace = m.pace.value(m.now), m.pace.normal()
 	r.Settled = m.settled
 	r.WarmUpMS = m.warmUpLeft()
 	return r
