--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -206,6 +206,10 @@
 	if d.loop.Resuming() {
 		return disp.Reply{Result: disp.Refused}
 	}
+	if c := connOf(ctx); c != nil && c.mayBeFrom(d.loop.lastStall(), j.Timeout) {
+		d.notes.take(event.Note{Name: "job_refused", Job: j.ID, Class: j.Queue, Reason: "thawed"})
+		return disp.Reply{Result: disp.Refused}
+	}
 	ticket, ch := d.ticket()
 	d.loop.Push(disp.Submit{Ticket: ticket, Job: j})
 	select {
@@ -250,6 +254,11 @@
 	return ready
 }
 
+// Closing announces that the connections of callers are closed after a time: what can't be answered by then is refused.
+func (d *Dispatcher) Closing(after time.Duration) {
+	d.loop.Push(disp.Closing{Within: clock.Millis(after.Milliseconds())})
+}
+
 // SetAgents sets the agents to which sessions are kept open.
 func (d *Dispatcher) SetAgents(agents []shard.Member) {
 	d.loop.Push(disp.Members{Agents: agents})
