--- a/internal/conf/leased.go
+++ b/internal/conf/leased.go
@@ -48,8 +48,6 @@
 	ReattachMS clock.Millis `json:"reattach_ms" validate:"min=10,max=10000"`
 	// DialTimeoutMS bounds the opening of a session and the pause before the next try, in milliseconds.
 	DialTimeoutMS clock.Millis `json:"dial_timeout_ms" validate:"min=50,max=10000"`
-	// ConnectMS bounds the first try to connect to an agent, in milliseconds; each try without an answer doubles it up to DialTimeoutMS.
-	ConnectMS clock.Millis `json:"connect_ms" validate:"min=5,max=10000"`
 	// RedialMS is the first pause before a session is opened again, in milliseconds.
 	RedialMS clock.Millis `json:"redial_ms" validate:"min=1,max=10000"`
 	// AnswerMarginMS is how long before the caller's deadline an answer leaves, in milliseconds.
@@ -77,7 +75,7 @@
 	return Dispatcher{
 		BeatMS: defaultBeat, SilenceMS: defaultSilence, IdleBeatMS: defaultIdleBeat, IdleSilenceMS: defaultIdleSilence,
 		LeaseMS: defaultLease, ReattachMS: defaultReattach,
-		DialTimeoutMS: 300, ConnectMS: 50, RedialMS: 10, AnswerMarginMS: 60, DrainLimitMS: 5500, FeedWaitMS: 1000, FarFactor: 1, ColdFactor: 1, GCPercent: 200, TickMS: defaultTick,
+		DialTimeoutMS: 300, RedialMS: 10, AnswerMarginMS: 60, DrainLimitMS: 5500, FeedWaitMS: 1000, FarFactor: 1, ColdFactor: 1, GCPercent: 200, TickMS: defaultTick,
 	}
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -56,11 +55,6 @@
 	// DialTimeout bounds the opening of a session, RedialFirst and RedialMost the pauses between tries, in milliseconds;
 	// zero stands for the defaults.
 	DialTimeout clock.Millis
-	// ConnectFirst bounds the first try to connect, in milliseconds; each try without an answer doubles the bound up to DialTimeout,
-	// which zero stands for.
-	ConnectFirst clock.Millis
-	// Dial opens a connection; nil stands for that of the net package.
-	Dial        func(ctx context.Context, network, addr string) (net.Conn, error)
 	RedialFirst clock.Millis
 	RedialMost  clock.Millis
 }
@@ -69,12 +63,6 @@
 	if c.DialTimeout == 0 {
 		c.DialTimeout = dialTimeout
 	}
-	if c.ConnectFirst == 0 {
-		c.ConnectFirst = c.DialTimeout
-	}
-	if c.Dial == nil {
-		c.Dial = (&net.Dialer{}).DialContext
-	}
 	if c.RedialFirst == 0 {
 		c.RedialFirst = redialFirst
 	}
@@ -155,9 +143,6 @@
 	cancel context.CancelFunc
 	// addr is where the next session is opened; the mesh's lock guards it.
 	addr string
-	// connectLimit bounds the next try to connect; the mesh's lock guards it.
-	connectLimit clock.Millis
-	client       *http.Client
 }
 
 func (m *Mesh) dialLocked(member shard.Member) {
@@ -166,10 +151,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(m.ctx)
-	d := &dialer{cancel: cancel, addr: member.Addr, connectLimit: m.cfg.ConnectFirst}
-	d.client = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-		return m.connect(ctx, network, addr, d)
-	}}}
+	d := &dialer{cancel: cancel, addr: member.Addr}
 	m.dialers[member.ID] = d
 	m.wg.Add(1)
 	go m.dialLoop(ctx, member.ID, d)
@@ -177,13 +159,12 @@
 
 func (m *Mesh) dialLoop(ctx context.Context, id shard.ID, d *dialer) {
 	defer m.wg.Done()
-	defer d.client.CloseIdleConnections()
 	pause := m.cfg.RedialFirst
 	for ctx.Err() == nil {
 		connected, addr := m.connected(id, d)
 		if connected {
 			pause = m.cfg.RedialFirst
-		} else if err := m.dial(ctx, addr, d); err == nil {
+		} else if err := m.dial(ctx, addr); err == nil {
 			pause = m.cfg.RedialFirst
 		}
 		select {
@@ -202,30 +183,13 @@
 	return m.sessions[id] != nil, d.addr
 }
 
-// connect opens a connection. A machine without power doesn't answer, and the packet that its return would answer is sent again only
-// after a second; so the first tries are short.
-func (m *Mesh) connect(ctx context.Context, network, addr string, d *dialer) (net.Conn, error) {
-	m.mu.Lock()
-	limit := d.connectLimit
-	m.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, limit.Duration())
-	defer cancel()
-	conn, err := m.cfg.Dial(ctx, network, addr)
-	if err != nil && ctx.Err() != nil {
-		m.mu.Lock()
-		d.connectLimit = min(2*limit, m.cfg.DialTimeout)
-		m.mu.Unlock()
-	}
-	return conn, err
-}
-
 // dial opens a session and serves it to its end.
-func (m *Mesh) dial(ctx context.Context, addr string, d *dialer) error {
+func (m *Mesh) dial(ctx context.Context, addr string) error {
 	dialCtx, cancel := context.WithTimeout(ctx, m.cfg.DialTimeout.Duration())
 	defer cancel()
 	//nolint:bodyclose // the library closes the body of the response itself
 	conn, _, err := websocket.Dial(dialCtx, "ws://"+addr+Path, &websocket.DialOptions{
-		CompressionMode: websocket.CompressionDisabled, HTTPClient: d.client,
+		CompressionMode: websocket.CompressionDisabled,
 	})
 	if err != nil {
 		return errors.Wrap(err, "dial")
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -1,10 +1,7 @@
 package mesh_test
 
 import (
-	"context"
-	"net"
 	"net/http/httptest"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,40 +114,3 @@
 		t.Error("no session at the new address")
 	}
 }
-
-// silentFirst connects like the net package, but for the first tries, which get no answer until they are given up.
-type silentFirst struct {
-	tries  atomic.Int32
-	silent int32
-}
-
-func (s *silentFirst) dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	if s.tries.Add(1) <= s.silent {
-		<-ctx.Done()
-		return nil, ctx.Err()
-	}
-	return (&net.Dialer{}).DialContext(ctx, network, addr)
-}
-
-// All machines have lost power, and an entry is back before an agent: its first try gets no answer, and must not delay the next one.
-func TestTryWithoutAnswerDelaysTheSessionLittle(t *testing.T) {
-	defer goleak.VerifyNone(t)
-	entry, _ := newMesh("entry-0/1", proto.RoleEntry)
-	server := httptest.NewServer(entry)
-	defer server.Close()
-	defer entry.Close()
-	b := &inbox{events: make(chan event.Event, 100)}
-	s := &silentFirst{silent: 3}
-	agent := mesh.New(mesh.Config{
-		ID: "agent-0/1", Role: proto.RoleAgent, Inbox: b, DialTimeout: clock.Second * 3600, ConnectFirst: 1, RedialFirst: 1, RedialMost: 1, Dial: s.dial,
-	})
-	defer agent.Close()
-	agent.Connect([]shard.Member{{ID: "entry-0/1", Addr: server.Listener.Addr().String()}})
-	select {
-	case ev := <-b.events:
-		qt.Check(t, ev, qt.Equals, event.SessionUp{Peer: "entry-0/1", Role: proto.RoleEntry, Session: 1})
-		qt.Check(t, s.tries.Load(), qt.Equals, int32(4))
-	case <-time.After(10 * time.Second):
-		t.Error("no session after a try without an answer")
-	}
-}
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -48,7 +48,7 @@
 	d.loop.gap = cfg.SilenceMS
 	d.loop.every = cfg.TickMS.Duration()
 	d.mesh = mesh.New(mesh.Config{
-		ID: id, Role: proto.RoleEntry, Inbox: d.loop, DialTimeout: cfg.DialTimeoutMS, ConnectFirst: cfg.ConnectMS, RedialFirst: cfg.RedialMS,
+		ID: id, Role: proto.RoleEntry, Inbox: d.loop, DialTimeout: cfg.DialTimeoutMS, RedialFirst: cfg.RedialMS,
 		RedialMost: cfg.DialTimeoutMS / 3, Log: log,
 	})
 	d.loop.perform = d.perform
