--- a/internal/conf/leased.go
+++ b/internal/conf/leased.go
@@ -57,7 +57,7 @@
 	// FarFactor is how much longer a task takes away from its data.
 	FarFactor float64 `json:"far_factor" validate:"min=1,max=1000"`
 	// ColdFactor is how much longer a task takes on a backend server that is slow after its start.
-	ColdFactor float64 `json:"cold_factor" validate:"min=1,max=1000"`
+	ColdFactor Factor `json:"cold_factor" validate:"min=1,max=1000"`
 	// KeepApart lists the services whose kinds of tasks are kept apart where they slow each other down and there is room; * stands for all.
 	KeepApart []string `json:"keep_apart" validate:"max=64,dive,min=1,max=256"`
 	// FeedWaitMS is how long the table service may hold a request for changes back, in milliseconds.
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -38,7 +38,7 @@
 	id := shard.ID(cfg.Name + "/" + incarnation)
 	machine := disp.New(disp.Config{
 		ID: id, Zone: cfg.AvailabilityZone, Beat: cfg.BeatMS, Silence: cfg.SilenceMS, IdleBeat: cfg.IdleBeatMS, IdleSilence: cfg.IdleSilenceMS, Lease: cfg.LeaseMS, ReattachTimeout: cfg.ReattachMS,
-		AnswerMargin: cfg.AnswerMarginMS, DrainLimit: cfg.DrainLimitMS, RemoteFactor: cfg.FarFactor, ColdFactor: cfg.ColdFactor,
+		AnswerMargin: cfg.AnswerMarginMS, DrainLimit: cfg.DrainLimitMS, RemoteFactor: cfg.FarFactor, ColdFactor: float64(cfg.ColdFactor),
 		KeepApart: cfg.KeepApart, Seed: seed,
 	})
 	d := &Dispatcher{
