--- a/internal/disp/agent_controller.go
+++ b/internal/disp/agent_controller.go
@@ -183,12 +183,11 @@
 		m.emit(CloseSession{Peer: from})
 		return
 	}
-	left := m.leftOf(v)
 	v.lastReport = m.now
 	wasPrompt := v.echo.isPrompt(m.now)
 	v.echo.observe(m.now, r.Echo)
 	m.informedAt = max(m.informedAt, min(r.Echo, m.now))
-	mayFit := r.Accepting && (!wasPrompt || !v.accepting || r.Free.CPU > left.CPU || r.Free.MemMB > left.MemMB || len(r.Ends) > 0)
+	mayFit := r.Accepting && (!wasPrompt || !v.accepting || r.Free.CPU > v.free.CPU || r.Free.MemMB > v.free.MemMB || len(r.Ends) > 0)
 	v.free, v.accepting, v.settled, v.ackedSeq = r.Free, r.Accepting, r.Settled, r.LastBegin
 	v.pace, v.normalPace = r.Pace, r.NormalPace
 	v.warmUntil = m.now + r.WarmUpMS
@@ -295,16 +294,6 @@
 	return free
 }
 
-// leftOf returns what other dispatchers have probably left of the free room in the agent's last report.
-func (m *Machine) leftOf(v *agentView) room.Resources {
-	return v.free.Times(m.contention.Left(m.now, m.now-v.lastReport))
-}
-
-// expectedFree returns the agent's estimated free room, less what other dispatchers have probably taken.
-func (m *Machine) expectedFree(v *agentView) room.Resources {
-	return v.estimatedFree().Minus(v.free.Minus(m.leftOf(v)))
-}
-
 // usable reports whether tasks of a service may be sent to the agent.
 func (m *Machine) usable(v *agentView, service string) bool {
 	return v.attached && !v.unchosen && !m.evacuated.Has(v.facts.Zone) && v.accepting && v.echo.isPrompt(m.now) && v.facts.Service == service && m.now >= v.backoffUntil
--- a/internal/disp/choice_controller.go
+++ b/internal/disp/choice_controller.go
@@ -23,40 +23,11 @@
 	m.chooseAgents()
 }
 
-// checkChosen chooses agents again at a regular interval, as some may have become unreachable or idle, and once the number of
-// extra agents has changed.
+// checkChosen chooses agents again at a regular interval, as some may have become unreachable or idle.
 func (m *Machine) checkChosen() {
-	if len(m.ranked) == 0 {
-		return
-	}
-	before := m.extraAgents
-	m.extraAgents = m.widening.Update(m.now, m.waitQueue.Len() > 0, m.countOpening)
-	if m.now >= m.nextChoice || m.extraAgents != before {
+	if m.now >= m.nextChoice && len(m.ranked) > 0 {
 		m.chooseAgents()
 	}
-	if m.extraAgents != before {
-		m.noteWidth(before)
-	}
-}
-
-// countOpening returns the number of chosen agents to which a session is being opened.
-func (m *Machine) countOpening() (n int) {
-	up, _ := m.connected()
-	for id, since := range m.chosen {
-		if !up[string(id)] && m.now-since < connectTimeout {
-			n++
-		}
-	}
-	return n
-}
-
-// noteWidth logs that the number of chosen agents has changed because work waits, or has not waited for some time.
-func (m *Machine) noteWidth(before int) {
-	n := event.Note{Name: "choice_widened", Count: len(m.chosen), Fleet: len(m.ranked), Waiting: m.waitQueue.Len()}
-	if m.extraAgents < before {
-		n.Name = "choice_narrowed"
-	}
-	m.note(n)
 }
 
 // chooseAgents chooses the agents to which sessions are kept open. Those in evacuated availability zones, and after connectTimeout
@@ -69,7 +40,7 @@
 		since, ok := m.chosen[id]
 		return !evacuated[id] && (upNames[string(id)] || !ok || m.now-since < connectTimeout)
 	}
-	chosen := subset.Choose(m.cfg.Zone, m.ranked, m.extraAgents, reachable, func(id shard.ID) bool { return busyNames[string(id)] })
+	chosen := subset.Choose(m.cfg.Zone, m.ranked, reachable, func(id shard.ID) bool { return busyNames[string(id)] })
 	chosenSince := make(map[shard.ID]clock.Millis, len(chosen))
 	for _, a := range chosen {
 		since, ok := m.chosen[a.ID]
--- a/internal/disp/common.go
+++ b/internal/disp/common.go
@@ -10,8 +10,6 @@
 	"corianderspur.example/corianderspur/internal/proto"
 	"corianderspur.example/corianderspur/internal/room"
 	"corianderspur.example/corianderspur/internal/shard"
-	"corianderspur.example/corianderspur/internal/stale"
-	"corianderspur.example/corianderspur/internal/subset"
 	"corianderspur.example/corianderspur/internal/wait"
 )
 
@@ -261,11 +259,6 @@
 	chosen map[shard.ID]clock.Millis
 	// nextChoice is when agents are chosen again.
 	nextChoice clock.Millis
-	// widening sets extraAgents, the number of chosen agents beyond the usual ones.
-	widening    subset.Widening
-	extraAgents int
-	// contention tells how far the free room in old reports can be relied on.
-	contention stale.Contention
 	// sortedIDs caches the sorted ids of the agents; nil after a change.
 	sortedIDs []shard.ID
 	jobs      map[string]*job
--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -80,7 +80,7 @@
 	paces, least := mediansOf(views), leastColdness(views, m.now, m.cfg.ColdFactor)
 	for _, v := range views {
 		c := place.Candidate{
-			ID: v.id, Free: m.expectedFree(v), Total: v.facts.Total, Labels: v.facts.Labels, Failing: v.failureRate,
+			ID: v.id, Free: v.estimatedFree(), Total: v.facts.Total, Labels: v.facts.Labels, Failing: v.failureRate,
 			Kinds: v.kinds, Remote: m.cfg.Zone != "" && v.facts.Zone != m.cfg.Zone,
 		}
 		c.Slow, c.Steady = v.slowness(paces)
--- a/internal/disp/run_outcomes.go
+++ b/internal/disp/run_outcomes.go
@@ -29,7 +29,6 @@
 		m.requeue(j, t, reportedEnd(e))
 	case proto.EndNoRoom:
 		j.returned++
-		m.contention.Returned(m.now)
 		m.requeue(j, t, reportedEnd(e))
 	case proto.EndOutdated:
 		m.requeue(j, t, reportedEnd(e))
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -127,7 +127,7 @@
 		m.wait.Record(ctx, int64(n.Took), metric.WithAttributes(class))
 		count = 1
 	case "backend_server", "backend_server_drains", "backend_server_left", "backend_server_reborn", "inventory", "inventory_sent", "cancel_found",
-		"cancel_not_found", "choice_widened", "choice_narrowed":
+		"cancel_not_found":
 		count = 1
 	case "usage_while_work_waits":
 		m.capacity.Add(ctx, n.Usage.UsedCoreMS, metric.WithAttributes(attribute.String("state", "used")))
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -43,25 +43,21 @@
 
 // Choose returns the first agents of order up to the limits above, which apply to the dispatcher's own zone and to the other zones
 // separately. Agents that the dispatcher can't reach are included, so that it retries them, but don't count towards the limits.
-// Beyond these limits, the next extra agents of order are included. Agents that are needed are included wherever they are in
-// order.
-func Choose(zone string, order []shard.Member, extra int, reachable, needed func(id shard.ID) bool) (chosen []shard.Member) {
-	localCount, remoteCount, extraCount := 0, 0, 0
+// Agents that are needed are included wherever they are in order.
+func Choose(zone string, order []shard.Member, reachable, needed func(id shard.ID) bool) (chosen []shard.Member) {
+	localCount, remoteCount := 0, 0
 	for _, a := range order {
 		local := a.Zone == zone
 		enough := remoteCount >= max(minRemote, minTotal-localCount)
 		if local {
 			enough = localCount >= maxLocal
 		}
-		isExtra := enough && extraCount < extra
-		if enough && !isExtra && !needed(a.ID) {
+		if enough && !needed(a.ID) {
 			continue
 		}
 		chosen = append(chosen, a)
 		switch {
 		case !reachable(a.ID):
-		case isExtra:
-			extraCount++
 		case local:
 			localCount++
 		default:
