--- a/internal/node/dispatcher_test.go
+++ b/internal/node/dispatcher_test.go
@@ -151,7 +151,7 @@
 func writeAfter(t *testing.T, s *submitting, c net.Conn, pause clock.Millis) {
 	_, err := io.WriteString(c, testRequest[:1])
 	qt.Assert(t, err, qt.IsNil)
-	s.clock.now += pause
+	s.clock.set(s.clock.Now() + pause)
 	_, err = io.WriteString(c, testRequest[1:])
 	qt.Assert(t, err, qt.IsNil)
 }
--- a/internal/node/listen_test.go
+++ b/internal/node/listen_test.go
@@ -137,11 +137,11 @@
 	old, theirs := net.Pipe()
 	socket.conns <- theirs
 	<-opened
-	now.now = slowFirst - 1
+	now.set(slowFirst - 1)
 	young, theirs := net.Pipe()
 	socket.conns <- theirs
 	<-opened
-	now.now = slowFirst
+	now.set(slowFirst)
 
 	drained := make(chan error, 1)
 	go func() { drained <- l.Drain(5 * time.Second) }()
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -10,11 +11,23 @@
 	"corianderspur.example/corianderspur/internal/event"
 )
 
+// fakeClock is set by a test while servers read it.
 type fakeClock struct {
+	mu  sync.Mutex
 	now clock.Millis
 }
 
-func (c *fakeClock) Now() clock.Millis { return c.now }
+func (c *fakeClock) Now() clock.Millis {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *fakeClock) set(now clock.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = now
+}
 
 type fakeMachine struct {
 	handled []event.Event
@@ -37,7 +50,7 @@
 	l.handleAll([]event.Event{event.Received{From: "e1"}})
 	qt.Assert(t, m.handled, qt.HasLen, 1)
 
-	c.now = StaleGap + 1
+	c.set(StaleGap + 1)
 	l.Push(entry.Submit{Ref: 2})
 	l.handleAll([]event.Event{event.Received{From: "e1"}, entry.Submit{Ref: 1}, event.SessionDown{Peer: "e1"}})
 	qt.Check(t, thawed, qt.Equals, 1)
@@ -45,7 +58,7 @@
 	qt.Check(t, stale, qt.DeepEquals, []event.Event{entry.Submit{Ref: 1}, entry.Submit{Ref: 2}})
 	qt.Check(t, m.handled[1:], qt.DeepEquals, []event.Event{event.SessionDown{Peer: "e1"}})
 
-	c.now += resumeGrace
+	c.set(c.Now() + resumeGrace)
 	qt.Check(t, l.Resuming(), qt.IsFalse)
 }
 
--- a/internal/node/stall_test.go
+++ b/internal/node/stall_test.go
@@ -26,7 +26,7 @@
 	s := newSubmitting(t, d, theirs)
 	idle := make(chan struct{}, 1)
 	s.listener.onIdle = func() { idle <- struct{}{} }
-	s.clock.now = 1000
+	s.clock.set(1000)
 	d.loop.clock = s.clock
 	answered := func() {
 		_, err := io.WriteString(ours, testRequest)
@@ -40,9 +40,9 @@
 	d.loop.perform = func(event.Action) {}
 	d.loop.resume = func() {}
 	d.loop.last = 1500
-	s.clock.now = 4300
-	d.loop.dropStale(s.clock.now, nil)
-	s.clock.now += 300
+	s.clock.set(4300)
+	d.loop.dropStale(s.clock.Now(), nil)
+	s.clock.set(s.clock.Now() + 300)
 	_, err := io.WriteString(ours, testRequest)
 	qt.Assert(t, err, qt.IsNil)
 	select {
