Placement: allocate the candidates of a pool at once

Cause: a candidate has grown, and each pool grew its list step by step: a job cost the state machine 176 and 169 us at 61 agents, 137 and 136 on the untouched code. Now 161 and 143 us, and 26 KB instead of 40 (31 on the untouched code).

--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -76,7 +76,7 @@
 }
 
 func (m *Machine) poolOf(views []*agentView) *pool {
-	p := &pool{views: views}
+	p := &pool{views: views, candidates: make([]place.Candidate, 0, len(views)), warmth: make([]float64, 0, len(views))}
 	paces, least := mediansOf(views), leastColdness(views, m.now, m.cfg.ColdFactor)
 	for _, v := range views {
 		c := place.Candidate{
