--- a/internal/disp/agent_controller.go
+++ b/internal/disp/agent_controller.go
@@ -148,8 +148,8 @@
 
 // requestRoom tells the agents of a service that tasks are waiting, so that they report free room at once. Later messages
 // repeat the request, and the first message after the wait queue is empty withdraws it.
-func (m *Machine) requestRoom(service string, rank int, waiting int64) {
-	m.wants[service] = want{rank: rank, waiting: waiting}
+func (m *Machine) requestRoom(service string, rank int) {
+	m.wantRanks[service] = rank
 	for _, id := range m.agentIDs() {
 		v := m.agents[id]
 		if v.attached && v.facts.Service == service && (v.wantSentAt == 0 || m.now-v.wantSentAt >= wantInterval || rank < v.wantRank) {
@@ -160,9 +160,9 @@
 
 func (m *Machine) sendOrders(v *agentView, o *proto.Orders) {
 	v.wantSentAt = 0
-	if w, ok := m.wants[v.facts.Service]; ok && m.waitQueue.Len() > 0 {
-		o.Want, o.Rank, o.Waiting = true, w.rank, w.waiting
-		v.wantSentAt, v.wantRank = m.now, w.rank
+	if rank, ok := m.wantRanks[v.facts.Service]; ok && m.waitQueue.Len() > 0 {
+		o.Want, o.Rank = true, rank
+		v.wantSentAt, v.wantRank = m.now, rank
 	}
 	o.Stamp = m.now
 	o.AckedEnd = v.lastEnd
--- a/internal/disp/choice_controller_test.go
+++ b/internal/disp/choice_controller_test.go
@@ -140,7 +140,6 @@
 	told := e.orders("a1/1")
 	qt.Assert(t, told, qt.HasLen, 1)
 	qt.Check(t, told[0].Want, qt.IsTrue)
-	qt.Check(t, told[0].Waiting, qt.Equals, int64(4000))
 	e.submit(3, jobOf(3, 1, 4000))
 	qt.Check(t, e.orders("a1/1"), qt.HasLen, 0)
 	e.now += 100
--- a/internal/disp/common.go
+++ b/internal/disp/common.go
@@ -234,13 +234,6 @@
 	backoffUntil clock.Millis
 }
 
-// want is the lowest rank of the jobs that wait for room, which is the most urgent, and the CPU that jobs of that rank need, in
-// thousandths of a core.
-type want struct {
-	rank    int
-	waiting int64
-}
-
 type inFlightTask struct {
 	seq  uint64
 	need room.Resources
@@ -288,8 +281,8 @@
 	exited   bool
 	// placementDue is set when tasks may be placed.
 	placementDue bool
-	// wants holds what waits for room, by service.
-	wants     map[string]want
+	// wantRanks holds the lowest rank of the jobs that wait for room, by service; the lowest is the most urgent.
+	wantRanks map[string]int
 	timings   map[string]*timing
 	evacuated evac.Register
 	// apart holds what is known of kinds that slow each other down, by service.
@@ -323,7 +316,7 @@
 		cfg.ContactLimit = cfg.Silence + cfg.Lease + cfg.Lease/clockSlackDivisor
 	}
 	return &Machine{
-		wants: map[string]want{}, chosen: map[shard.ID]clock.Millis{},
+		wantRanks: map[string]int{}, chosen: map[shard.ID]clock.Millis{},
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), agents: map[shard.ID]*agentView{}, jobs: map[string]*job{},
 		tickets: map[uint64]string{}, recent: map[string]outcome{}, timings: map[string]*timing{}, apart: map[string]*contend.Table{}, guards: map[string]*wait.Reservation{},
 		retryTimes: map[string]*wait.RetrySchedule{},
--- a/internal/disp/place_controller.go
+++ b/internal/disp/place_controller.go
@@ -9,7 +9,6 @@
 	"corianderspur.example/corianderspur/internal/proto"
 	"corianderspur.example/corianderspur/internal/room"
 	"corianderspur.example/corianderspur/internal/shard"
-	"corianderspur.example/corianderspur/internal/wait"
 )
 
 // pool holds the agents of one service and their room while jobs are placed.
@@ -28,9 +27,8 @@
 // placeAll sends waiting tasks to agents that have room, in the order of the wait queue.
 func (m *Machine) placeAll() {
 	pools := map[string]*pool{}
-	clear(m.wants)
-	jobs := m.waitQueue.Jobs()
-	for i, w := range jobs {
+	clear(m.wantRanks)
+	for _, w := range m.waitQueue.Jobs() {
 		j := m.jobs[w.ID]
 		p := pools[j.Service]
 		if p == nil {
@@ -41,20 +39,10 @@
 			continue
 		}
 		p.full = true
-		m.requestRoom(j.Service, w.Rank(), m.waitingCPU(jobs[i:], j.Service))
+		m.requestRoom(j.Service, w.Rank())
 	}
 }
 
-// waitingCPU returns the CPU that those of the jobs need that are of a service and of the rank of the first, in thousandths of a core.
-func (m *Machine) waitingCPU(jobs []wait.Job, service string) (sum int64) {
-	for _, w := range jobs {
-		if j := m.jobs[w.ID]; j.Service == service && w.Rank() == jobs[0].Rank() {
-			sum += j.waitingNeed().CPU
-		}
-	}
-	return sum
-}
-
 // newPool returns the agents of a service that accept tasks. Those whose report is overdue are left out, as tasks sent to a
 // failed machine are lost with it; if all are overdue, this process itself was delayed, and they are used.
 func (m *Machine) newPool(service string) *pool {
--- a/internal/proto/order.go
+++ b/internal/proto/order.go
@@ -23,8 +23,6 @@
 	Want bool `cbor:"want,omitempty"`
 	// Rank is the priority of the waiting work; free resources are offered to the lowest rank first.
 	Rank int `cbor:"rank,omitempty"`
-	// Waiting is the CPU that the waiting work of that rank needs, in thousandths of a core.
-	Waiting int64 `cbor:"waiting,omitempty"`
 	// Cancels lists jobs to cancel that the dispatcher doesn't have; the agent relays them to its other dispatchers.
 	Cancels []string `cbor:"cancels,omitempty"`
 	// Cancelled answers relayed cancels of jobs that the dispatcher had.
@@ -190,9 +188,6 @@
 	maxAmount = int64(1) << 40
 )
 
-// maxRank bounds the rank of waiting work.
-const maxRank = 1000
-
 // MaxCancels bounds each list of cancels in a message, and maxIDLen the ids in them, in bytes.
 const (
 	MaxCancels = 1024
@@ -210,9 +205,6 @@
 	if o.Stamp < 0 || o.Stamp > maxStamp {
 		return errors.Errorf("stamp %d", o.Stamp)
 	}
-	if o.Rank < 0 || o.Rank > maxRank || o.Waiting < 0 || o.Waiting > maxAmount {
-		return errors.Errorf("rank %d, waiting %d", o.Rank, o.Waiting)
-	}
 	for _, b := range o.Begins {
 		for _, t := range b.Tasks {
 			if t.Task == "" || t.Run < 1 || !IsAmount(t.Need) {
--- a/internal/runs/common.go
+++ b/internal/runs/common.go
@@ -4,7 +4,6 @@
 	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/evac"
 	"corianderspur.example/corianderspur/internal/event"
-	"corianderspur.example/corianderspur/internal/offer"
 	"corianderspur.example/corianderspur/internal/proto"
 	"corianderspur.example/corianderspur/internal/room"
 	"corianderspur.example/corianderspur/internal/shard"
@@ -283,15 +282,12 @@
 	dirty bool
 	// wantsUntil is the time until which the dispatcher is offered capacity that becomes free.
 	wantsUntil clock.Millis
-	// rank is the priority of the dispatcher's waiting work, the lowest comes first; waiting is the CPU that work of that rank needs,
-	// in thousandths of a core.
-	rank    int
-	waiting int64
-	// offerRound is the round of the last capacity offer to the dispatcher.
-	offerRound uint64
-	// reportedAt is when the last report was sent, and reportedPace the pace in it.
-	reportedAt   clock.Millis
-	reportedPace float64
+	// rank is the priority of the dispatcher's waiting work; the lowest comes first.
+	rank int
+	// lastOfferNumber is the number of the last capacity offer to the dispatcher, and offerRound the round that it belonged to.
+	lastOfferNumber uint64
+	offerRound      uint64
+	reportedAt      clock.Millis
 	// lastCancel is the number of the last relayed cancel that the dispatcher has been sent.
 	lastCancel uint64
 	// evacuated tracks which evacuated zones the dispatcher has heard of in this session.
@@ -365,12 +361,12 @@
 	usage      usage
 	pace       pace
 	beside     beside
-	// offerRound counts the times that capacity became free; nextOfferAt is when the next offer may be made, and offering says
-	// that there is capacity to offer.
+	// offerRound counts the times that capacity became free, lastOffer the offers; nextOfferAt is when the next may be made, and
+	// offering says that there is capacity to offer.
 	offerRound  uint64
+	lastOffer   uint64
 	nextOfferAt clock.Millis
 	offering    bool
-	shares      *offer.Shares
 	// cancels are relayed between dispatchers, oldest first; lastCancel is the number of the last one.
 	cancels    []cancel
 	lastCancel uint64
@@ -391,7 +387,7 @@
 	}
 	return &Machine{
 		cfg: cfg, fence: fence{token: cfg.Token, step: fenceStep}, departed: map[Incarnation]bool{}, peers: map[shard.ID]*peer{}, runs: map[string]*run{},
-		orphans: map[string]clock.Millis{}, cancelledAt: map[string]clock.Millis{}, shares: offer.NewShares(), awaitsEvacuated: cfg.EvacuationWait > 0,
+		orphans: map[string]clock.Millis{}, cancelledAt: map[string]clock.Millis{}, awaitsEvacuated: cfg.EvacuationWait > 0,
 	}
 }
 
--- a/internal/runs/machine.go
+++ b/internal/runs/machine.go
@@ -36,7 +36,6 @@
 		m.handleHaltDone(ev)
 	case PollDone:
 		m.handlePollDone(ev)
-		m.reportPace()
 	case event.Stop:
 		m.beginStop()
 	case event.Tick:
--- a/internal/runs/machine_test.go
+++ b/internal/runs/machine_test.go
@@ -293,30 +293,6 @@
 	qt.Assert(t, actions[event.Send](a)[0].To, qt.Equals, shard.ID("e1/1"))
 }
 
-// A burst that the balancer spreads unevenly: capacity that becomes free is offered first to a dispatcher with three times the
-// waiting work for three of four times.
-func TestCapacityIsOfferedInProportionToWaitingWork(t *testing.T) {
-	a := newAgentTest(t)
-	a.handle(event.SessionUp{Peer: "e3/1"})
-	offered := map[shard.ID]int{}
-	for i := range 8 {
-		job := fmt.Sprintf("j%d", i)
-		a.begin("e3/1", job, 4000)
-		a.confirmStart(job)
-		for from, waiting := range map[shard.ID]int64{"e1/1": 20_000, "e2/1": 60_000} {
-			a.handle(event.Received{From: from, Message: proto.Message{Orders: &proto.Orders{Stamp: a.now, Want: true, Rank: 2, Waiting: waiting}}})
-		}
-		a.handle(PollDone{Number: a.m.poll.Number, Outcome: OrderDone, Born: 1, Ended: []Ended{
-			{N: uint64(i + 1), Task: job + ".0.0.0", Run: 1, How: proto.EndDone},
-		}})
-		for _, s := range actions[event.Send](a) {
-			offered[s.To]++
-		}
-	}
-	delete(offered, "e3/1")
-	qt.Assert(t, offered, qt.DeepEquals, map[shard.ID]int{"e1/1": 2, "e2/1": 6})
-}
-
 // The load pattern of a large fleet at its limit: many dispatchers wait for each agent. Capacity that the first one has taken is not
 // offered to others, so that an end costs one message and not one for each dispatcher.
 func TestCapacityThatIsTakenIsNotOfferedOn(t *testing.T) {
--- a/internal/runs/pace_test.go
+++ b/internal/runs/pace_test.go
@@ -11,7 +11,6 @@
 	"corianderspur.example/corianderspur/internal/event"
 	"corianderspur.example/corianderspur/internal/proto"
 	"corianderspur.example/corianderspur/internal/room"
-	"corianderspur.example/corianderspur/internal/shard"
 )
 
 // pollProgress answers the pending poll, after some time, with the progress of four runs.
@@ -53,30 +52,6 @@
 	qt.Check(t, a.m.newReport().Pace, qt.Equals, 0.0)
 }
 
-// A backend server turns slow in a burst: a dispatcher with work waiting is told at once, one without hears of it with its next report.
-func TestChangeOfPaceIsReportedToThoseThatWait(t *testing.T) {
-	a := newAgentTest(t)
-	a.now = 100
-	b := proto.Begin{Seq: 1, Job: "j1", Service: "s"}
-	for i := range 4 {
-		b.Tasks = append(b.Tasks, proto.TaskBegin{Task: fmt.Sprintf("j1.0.0.%d", i), Run: 1, Need: room.Resources{CPU: 1000}, EstimateMS: 1000})
-	}
-	a.orders("e1/1", a.now, b)
-	for i := range 4 {
-		a.handle(StartDone{Task: fmt.Sprintf("j1.0.0.%d", i), Run: 1, Outcome: OrderDone, Born: 1})
-	}
-	a.pollProgress(100, 10)
-	a.handle(event.Received{From: "e2/1", Message: proto.Message{Orders: &proto.Orders{Stamp: a.now, Want: true, Rank: 1}}})
-	a.pollProgress(100, 20)
-	qt.Check(t, actions[event.Send](a), qt.HasLen, 0)
-	a.pollProgress(120, 20)
-	a.pollProgress(120, 20)
-	told := actions[event.Send](a)
-	qt.Assert(t, told, qt.HasLen, 1)
-	qt.Check(t, told[0].To, qt.Equals, shard.ID("e2/1"))
-	qt.Check(t, told[0].Message.Report.Pace < 0.66, qt.IsTrue)
-}
-
 // progressFor lets eight runs make progress at a speed for some time, with a poll each 100 ms.
 func progressFor(p *pace, from, span clock.Millis, speed float64) (now clock.Millis) {
 	list := make([]run, 8)
--- a/internal/runs/peer_controller.go
+++ b/internal/runs/peer_controller.go
@@ -80,7 +80,6 @@
 	}
 	if !p.up && m.now-p.downAt > peerRetention && m.runCount(p) == 0 {
 		delete(m.peers, p.id)
-		m.shares.Forget(p.id)
 	}
 }
 
@@ -165,25 +164,7 @@
 	if m.now >= p.wantsUntil || o.Rank < p.rank {
 		p.dirty = true
 	}
-	p.wantsUntil, p.rank, p.waiting = m.now+wantTTL, o.Rank, o.Waiting
-}
-
-// paceNews is the factor by which the pace has to change before dispatchers with work waiting are told at once.
-const paceNews = 1.5
-
-// reportPace makes a report due to the dispatchers with work waiting that know another pace: they would send tasks to a backend server
-// that has turned slow, or none to one that has recovered. The others learn of it with their next report.
-func (m *Machine) reportPace() {
-	pace := m.pace.value(m.now)
-	if pace == 0 {
-		return
-	}
-	for _, p := range m.peers {
-		known := p.reportedPace
-		if p.up && m.now < p.wantsUntil && known > 0 && max(pace/known, known/pace) >= paceNews {
-			p.dirty = true
-		}
-	}
+	p.wantsUntil, p.rank = m.now+wantTTL, o.Rank
 }
 
 // echoInterval is the least time between reports that only answer heartbeats, in milliseconds.
@@ -230,7 +211,6 @@
 		p.dirty = false
 		p.reportedAt = m.now
 		r := m.newReport()
-		p.reportedPace = r.Pace
 		r.Echo = p.lastStamp
 		r.LastBegin = p.lastBegin
 		r.Ends = slices.Clone(p.unsent())
--- a/internal/runs/run_controller.go
+++ b/internal/runs/run_controller.go
@@ -3,7 +3,6 @@
 import (
 	"corianderspur.example/corianderspur/internal/clock"
 	"corianderspur.example/corianderspur/internal/event"
-	"corianderspur.example/corianderspur/internal/offer"
 	"corianderspur.example/corianderspur/internal/proto"
 )
 
@@ -211,41 +210,34 @@
 
 // offerNext offers free capacity to one dispatcher at a time until it is taken. Two dispatchers that use the same capacity
 // would begin jobs whose tasks partly have to wait. Reporting each change to all dispatchers would also cost one message per
-// dispatcher. The lowest rank goes first, and equals share in proportion to
-// what waits at each.
+// dispatcher. The lowest rank goes first, and among equals the dispatcher whose last offer is longest ago.
 func (m *Machine) offerNext() {
 	if !m.offering || m.now < m.nextOfferAt {
 		return
 	}
-	if !m.hasUsefulCapacity() {
-		m.offering = false
-		return
-	}
 	p := m.nextOfferPeer()
-	if p == nil {
+	if p == nil || !m.hasUsefulCapacity() {
 		m.offering = false
 		return
 	}
-	p.offerRound = m.offerRound
+	m.lastOffer++
+	p.lastOfferNumber, p.offerRound = m.lastOffer, m.offerRound
 	p.dirty = true
 	m.nextOfferAt = m.now + offerInterval
 }
 
 // nextOfferPeer returns the dispatcher to offer the capacity of this round to next, or nil.
-func (m *Machine) nextOfferPeer() *peer {
-	var peers []*peer
-	var claims []offer.Claim
+func (m *Machine) nextOfferPeer() (next *peer) {
 	for _, id := range m.sortedPeerIDs() {
-		if p := m.peers[id]; p.up && m.now < p.wantsUntil && p.offerRound < m.offerRound {
-			peers = append(peers, p)
-			claims = append(claims, offer.Claim{ID: id, Rank: p.rank, Waiting: p.waiting})
+		p := m.peers[id]
+		if !p.up || m.now >= p.wantsUntil || p.offerRound >= m.offerRound {
+			continue
+		}
+		if next == nil || p.rank < next.rank || (p.rank == next.rank && p.lastOfferNumber < next.lastOfferNumber) {
+			next = p
 		}
 	}
-	next := m.shares.Next(claims)
-	if next < 0 {
-		return nil
-	}
-	return peers[next]
+	return next
 }
 
 // hasUsefulCapacity reports whether a run as small as the smallest one here would fit.
